--- /dev/null
+++ b/include/arbutuscrank/core/effects.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <arbutuscrank/core/events.hpp>
+#include <arbutuscrank/core/log_events.hpp>
+#include <arbutuscrank/core/messages.hpp>
+#include <arbutuscrank/core/types.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// \file
+/// \brief Everything that the decision core asks its shell to do.
+
+namespace arbutuscrank {
+
+class LookupTable;
+
+// --- Peers -----------------------------------------------------------------------------------------------------------
+
+/// \brief Sends a message. Lost if there is no session to that VM.
+struct SendMessage {
+    VmId to;
+    PeerMessage message;
+};
+
+/// \brief A peer to which a session is kept open.
+struct PeerEndpoint {
+    VmId vm;
+    std::string address; ///< "ip:port"
+};
+
+/// \brief Replaces the set of peers to which sessions are kept open.
+struct SetPeers {
+    std::vector<PeerEndpoint> peers;
+};
+
+// --- Platform --------------------------------------------------------------------------------------------------------
+
+/// \brief Reads an object; answered by \ref ObjectRead or \ref StoreCallFailed.
+struct ReadObject {
+    StoreToken token = 0;
+    std::string key;
+};
+
+/// \brief Conditional update; answered by \ref ObjectWritten or \ref StoreCallFailed.
+struct WriteObject {
+    StoreToken token = 0;
+    std::string key;
+    std::string value;
+    ObjectVersion expected = 0; ///< 0: the object must not exist
+};
+
+/// \brief Waits until the object is newer than \p after; answered by \ref ObjectRead or \ref StoreCallFailed.
+struct WatchObject {
+    StoreToken token = 0;
+    std::string key;
+    ObjectVersion after = 0;
+};
+
+/// \brief Reads the VM list; answered by \ref VmListRead or \ref VmListFailed.
+struct ListVms { };
+
+// --- Requests --------------------------------------------------------------------------------------------------------
+
+/// \brief Runs a request on a target that this entry owns.
+struct RunAttempt {
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+    std::string service;
+    std::string account;
+    std::string target;
+    std::string address;
+    TimePoint deadline;
+    TimePoint admittedAt;
+};
+
+/// \brief Sends a request to the entry that owns a target.
+struct ForwardAttempt {
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+    std::string service;
+    std::string account;
+    VmId owner;
+    std::string address; ///< peer address of the owner
+    TimePoint deadline;
+    TimePoint admittedAt;
+};
+
+/// \brief What a caller is told when no answer of a target is passed on.
+struct Refusal {
+    int status = 503;
+    std::string reason; ///< a word from docs/api.md, such as "rate-exceeded"
+    bool certainlyNotRun = true; ///< false: the outcome is unknown
+    Duration retryAfter {}; ///< 0: no Retry-After header
+    std::string detail; ///< for people
+};
+
+/// \brief Ends a request with a refusal or an error.
+struct RefuseRequest {
+    RequestId id = 0;
+    Refusal refusal;
+};
+
+/// \brief Ends an attempt that nobody waits for any more; its connection is closed. Always followed by AttemptEnded.
+struct CancelAttempt {
+    RequestId id = 0;
+    std::uint32_t attempt = 0;
+};
+
+/// \brief Closes the callers' connections that last used an account.
+struct CloseConnections {
+    std::string account;
+    std::string keyId; ///< empty: all keys of the account
+};
+
+/// \brief Probes a target; answered by \ref ProbeEnded.
+struct ProbeTarget {
+    std::string target;
+    std::string address;
+};
+
+/// \brief Keeps warm connections to a target that this entry owns; 0 closes the idle ones.
+struct KeepConnections {
+    std::string target;
+    std::string address;
+    std::uint32_t idle = 0;
+    std::uint32_t limit = 0; ///< never open more than this
+};
+
+// --- Other -----------------------------------------------------------------------------------------------------------
+
+/// \brief Publishes the table from which look-ups are answered.
+struct PublishLookup {
+    std::shared_ptr<const LookupTable> table;
+};
+
+/// \brief What entries reported about an account's traffic.
+struct ProofCollected {
+    std::uint64_t queryId = 0;
+    std::string account;
+    std::vector<ProofReply> replies;
+    std::vector<VmId> unconfirmed; ///< entries that did not answer, or do not refuse the account yet
+};
+
+/// \brief Writes a numbered log event.
+struct WriteLog {
+    LogEvent event = LogEvent::ProcessStarted;
+    std::string detail; ///< "name=value" pairs
+};
+
+/// \brief The graceful stop is complete; the process can exit.
+struct StopCompleted { };
+
+/// \brief Any effect.
+using Effect = std::variant<SendMessage, SetPeers, ReadObject, WriteObject, WatchObject, ListVms, RunAttempt,
+    ForwardAttempt, RefuseRequest, CancelAttempt, CloseConnections, ProbeTarget, KeepConnections, PublishLookup,
+    ProofCollected, WriteLog, StopCompleted>;
+
+/// \brief What a step of the reducer produced.
+struct Outbox {
+    std::vector<Effect> effects;
+    std::deque<Event> followUps; ///< handled by the dispatcher before it returns
+};
+
+} // namespace arbutuscrank
--- /dev/null
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+/// \file
+/// \brief Numbers of the log events. docs/log-events.md is their catalogue.
+
+namespace arbutuscrank {
+
+/// \brief Numbered log events. Numbers are never reused.
+enum class LogEvent : std::uint16_t {
+    // 1xx: process
+    ProcessStarted = 100,
+    StopStarted = 101,
+    StopCompleted = 102,
+    StopForced = 103,
+    SettingsRefused = 104,
+    // 2xx: configuration
+    ConfigurationApplied = 200,
+    ConfigurationRefused = 201,
+    ConfigurationStale = 202,
+    ConfigurationFresh = 203,
+    PartMissing = 204,
+    ManifestWritten = 205,
+    ManifestConflict = 206,
+    // 3xx: membership
+    MemberJoined = 300,
+    MemberSuspected = 301,
+    MemberTrusted = 302,
+    MemberLeaving = 303,
+    MemberGone = 304,
+    VmListFailed = 305,
+    PeerConnectionLost = 306,
+    // 4xx: quotas
+    LedgerApplied = 400,
+    LedgerWritten = 401,
+    LedgerConflict = 402,
+    LedgerUnreadable = 403,
+    LoanRefused = 404,
+    // 5xx: routing
+    TargetOwned = 500,
+    TargetReleased = 501,
+    TargetUnhealthy = 502,
+    TargetHealthy = 503,
+    TargetDraining = 504,
+    TargetDrained = 505,
+    // 6xx: requests
+    RequestRefused = 600,
+    RequestOutcomeUnknown = 601,
+    AnswerCutShort = 602,
+    RequestCancelled = 603,
+    // 7xx: steering
+    PlanApplied = 700,
+    ShiftStepped = 701,
+    LookupPublished = 702,
+    // 8xx: accounts
+    AccountWithdrawn = 800,
+    KeyWithdrawn = 801,
+    ProofCollected = 802,
+    // 9xx: platform and peers
+    StoreFailed = 900,
+    StoreRecovered = 901,
+    PeerProtocolError = 902,
+};
+
+/// \brief Name of a log event, as in the catalogue.
+[[nodiscard]] std::string_view toString(LogEvent event) noexcept;
+
+} // namespace arbutuscrank
--- /dev/null
+++ b/include/arbutuscrank/core/types.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Identifiers, time and units shared by every topic of the decision core.
+
+namespace arbutuscrank {
+
+// --- Time ------------------------------------------------------------------------------------------------------------
+
+/// \brief Monotonic time of one process. The core never reads a clock; every event brings its time.
+struct LogicalClock {
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<LogicalClock>;
+    static constexpr bool is_steady = true;
+};
+
+/// Length of time in microseconds.
+using Duration = LogicalClock::duration;
+/// Point on the monotonic clock of this process.
+using TimePoint = LogicalClock::time_point;
+
+// --- Identifiers -----------------------------------------------------------------------------------------------------
+
+/// \brief Name of a VM, taken from its settings. Stays the same when its process restarts.
+using VmId = std::string;
+
+/// \brief One run of the daemon process on a VM: start time in milliseconds in the high 42 bits, 22 random bits below.
+/// A later start of the same VM has the higher number. 0 means unknown.
+using Incarnation = std::uint64_t;
+
+/// \brief Number of a caller's request (or of a request forwarded by a peer), unique within one process.
+using RequestId = std::uint64_t;
+
+/// \brief Number that pairs a store call with its answer, unique within one process.
+using StoreToken = std::uint64_t;
+
+/// \brief Version of the configuration manifest. Only grows; 0 means that none was applied yet.
+using ManifestVersion = std::uint64_t;
+
+/// \brief Version that the platform's store gives to an object. 0 means that the object does not exist.
+using ObjectVersion = std::uint64_t;
+
+/// \brief One incarnation of the daemon on one VM.
+struct ProcessId {
+    VmId vm;
+    Incarnation incarnation = 0;
+
+    friend auto operator<=>(const ProcessId&, const ProcessId&) = default;
+};
+
+/// \brief What a daemon knows of itself from its settings.
+struct Self {
+    ProcessId process;
+    std::string region;
+    std::string failureDomain;
+    std::string callerAddress; ///< "ip:port" on which callers connect
+    std::string peerAddress; ///< "ip:port" on which other daemons connect
+};
+
+// --- Units -----------------------------------------------------------------------------------------------------------
+
+/// \brief Quota tokens in millionths, so that small shares are not rounded to nothing.
+using MicroTokens = std::int64_t;
+
+/// One whole token, which admits one request (or one byte for link quotas).
+inline constexpr MicroTokens oneToken = 1'000'000;
+
+} // namespace arbutuscrank
--- /dev/null
+++ b/include/arbutuscrank/platform.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+/// \file
+/// \brief Umbrella header of the platform library.
+
+#include <arbutuscrank/platform/http_platform.hpp>
+#include <arbutuscrank/platform/platform.hpp>
--- /dev/null
+++ b/src/core/proof.cpp
@@ -0,0 +1,144 @@
+#include <arbutuscrank/core/state.hpp>
+
+namespace arbutuscrank::proof {
+
+namespace {
+
+    /// Longest wait for the answers of all entries.
+    constexpr Duration queryTimeout = std::chrono::seconds(2);
+
+    std::int64_t age(const std::optional<TimePoint>& since, TimePoint now)
+    {
+        return since ? (now - *since).count() : -1;
+    }
+
+    ProofReply report(const State& state, std::uint64_t queryId, const std::string& name, TimePoint now)
+    {
+        ProofReply reply;
+        reply.queryId = queryId;
+        reply.account = name;
+        reply.process = state.self.process;
+        reply.manifestVersion = configuration::version(state);
+        const auto* active = configuration::active(state);
+        const auto* account = active == nullptr ? nullptr : active->findAccount(name);
+        reply.withdrawn = active != nullptr && (account == nullptr || account->withdrawn);
+        const auto it = state.proof.accounts.find(name);
+        if (it == state.proof.accounts.end())
+            return reply;
+        reply.refusingForMicros = age(it->second.refusingSince, now);
+        reply.lastRequestAgeMicros = age(it->second.lastRequest, now);
+        reply.lastAnswerAgeMicros = age(it->second.lastAnswer, now);
+        reply.inFlight = it->second.inFlight;
+        return reply;
+    }
+
+    void complete(State& state, std::uint64_t queryId, Context& context)
+    {
+        const auto it = state.proof.queries.find(queryId);
+        ProofCollected result { queryId, it->second.account, {}, {} };
+        for (auto& [vm, reply] : it->second.replies) {
+            if (!reply || !reply->withdrawn || reply->inFlight > 0)
+                result.unconfirmed.push_back(vm);
+            if (reply)
+                result.replies.push_back(std::move(*reply));
+        }
+        state.proof.queries.erase(it);
+        context.log(LogEvent::ProofCollected,
+            "account=" + result.account + " replies=" + std::to_string(result.replies.size())
+                + " unconfirmed=" + std::to_string(result.unconfirmed.size()));
+        context.effect(std::move(result));
+    }
+
+    void completeIfAnswered(State& state, std::uint64_t queryId, Context& context)
+    {
+        for (const auto& [vm, reply] : state.proof.queries.at(queryId).replies) {
+            if (!reply)
+                return;
+        }
+        complete(state, queryId, context);
+    }
+
+} // namespace
+
+void requestSent(State& state, std::string_view account, TimePoint now)
+{
+    if (account.empty())
+        return;
+    auto& traffic = state.proof.accounts[std::string(account)];
+    traffic.lastRequest = now;
+    ++traffic.inFlight;
+}
+
+void requestEnded(State& state, std::string_view account, bool answered, TimePoint now)
+{
+    const auto it = state.proof.accounts.find(account);
+    if (it == state.proof.accounts.end())
+        return;
+    --it->second.inFlight;
+    if (answered)
+        it->second.lastAnswer = now;
+}
+
+void onTick(State& state, Context& context)
+{
+    std::vector<std::uint64_t> expired;
+    for (const auto& [id, query] : state.proof.queries) {
+        if (context.now >= query.until)
+            expired.push_back(id);
+    }
+    for (const auto id : expired)
+        complete(state, id, context);
+}
+
+void onConfigurationApplied(State& state, const ConfigurationApplied& /*event*/, Context& context)
+{
+    const auto* active = configuration::active(state);
+    for (auto& [name, traffic] : state.proof.accounts) {
+        const auto* account = active->findAccount(name);
+        const bool refused = account == nullptr || account->withdrawn;
+        if (!refused)
+            traffic.refusingSince.reset();
+        else if (!traffic.refusingSince)
+            traffic.refusingSince = context.now;
+    }
+    for (const auto& account : active->document().accounts) {
+        auto& traffic = state.proof.accounts[account.name];
+        if (account.withdrawn && !traffic.refusingSince) {
+            traffic.refusingSince = context.now;
+            context.log(LogEvent::AccountWithdrawn, "account=" + account.name);
+        }
+    }
+}
+
+void onProofAsked(State& state, const ProofAsked& event, Context& context)
+{
+    ProofQuery query { event.account, context.now + queryTimeout, {} };
+    query.replies[state.self.process.vm] = report(state, event.queryId, event.account, context.now);
+    for (const auto& [vm, record] : state.membership.members) {
+        if (record.gone)
+            continue;
+        query.replies[vm] = std::nullopt;
+        context.send(vm, ProofRequest { event.queryId, event.account });
+    }
+    state.proof.queries[event.queryId] = std::move(query);
+    completeIfAnswered(state, event.queryId, context);
+}
+
+void onProofRequest(State& state, const ProcessId& from, const ProofRequest& message, Context& context)
+{
+    context.send(from.vm, report(state, message.queryId, message.account, context.now));
+}
+
+void onProofReply(State& state, const ProcessId& from, const ProofReply& message, Context& context)
+{
+    const auto it = state.proof.queries.find(message.queryId);
+    if (it == state.proof.queries.end())
+        return;
+    const auto reply = it->second.replies.find(from.vm);
+    if (reply == it->second.replies.end())
+        return;
+    reply->second = message;
+    completeIfAnswered(state, message.queryId, context);
+}
+
+} // namespace arbutuscrank::proof
--- /dev/null
+++ b/src/core/requests.cpp
@@ -0,0 +1,478 @@
+#include <arbutuscrank/core/state.hpp>
+
+#include <algorithm>
+
+namespace arbutuscrank::requests {
+
+namespace {
+
+    // --- Ending a request --------------------------------------------------------------------------------------------
+
+    /// Forgets a request and tells the record holders of its idempotency key how it ended.
+    void finish(State& state, RequestId id, RecordState outcome, Context& context)
+    {
+        const auto it = state.requests.requests.find(id);
+        if (it->second.reserved)
+            idempotency::recordOutcome(state, id, outcome, context);
+        state.requests.requests.erase(it);
+        ++state.requests.finished;
+    }
+
+    void refuse(State& state, RequestId id, Refusal refusal, Context& context)
+    {
+        const auto& request = state.requests.requests.at(id);
+        refusal.certainlyNotRun = refusal.certainlyNotRun && !request.mayHaveRun;
+        const auto outcome = refusal.certainlyNotRun ? RecordState::NotRun : RecordState::Unknown;
+        if (!refusal.certainlyNotRun)
+            context.log(LogEvent::RequestOutcomeUnknown, "request=" + std::to_string(id) + " reason=" + refusal.reason);
+        context.effect(RefuseRequest { id, std::move(refusal) });
+        finish(state, id, outcome, context);
+    }
+
+    /// Refuses a request that was never recorded.
+    void refuseAtOnce(RequestId id, int status, std::string reason, std::string detail, Context& context)
+    {
+        context.effect(RefuseRequest { id, Refusal { status, std::move(reason), true, {}, std::move(detail) } });
+    }
+
+    // --- Placing a request -------------------------------------------------------------------------------------------
+
+    void beginAttempt(Request& request, Context& context)
+    {
+        ++request.attempt;
+        request.phase = RequestPhase::Running;
+        request.attemptStartedAt = context.now;
+        request.target.clear();
+        request.owner.clear();
+    }
+
+    void runHere(State& state, RequestId id, std::string target, std::string address, Context& context)
+    {
+        auto& request = state.requests.requests.at(id);
+        beginAttempt(request, context);
+        request.target = target;
+        proof::requestSent(state, request.account, context.now);
+        context.effect(RunAttempt { id, request.attempt, request.service, request.account, std::move(target),
+            std::move(address), request.deadline, context.now });
+    }
+
+    void forwardTo(State& state, RequestId id, VmId owner, std::string address, Context& context)
+    {
+        auto& request = state.requests.requests.at(id);
+        beginAttempt(request, context);
+        request.owner = owner;
+        proof::requestSent(state, request.account, context.now);
+        context.effect(ForwardAttempt { id, request.attempt, request.service, request.account, std::move(owner),
+            std::move(address), request.deadline, context.now });
+    }
+
+    /// Acts on a routing decision. Each returns whether the request found its place.
+    struct Placement {
+        State& state;
+        RequestId id;
+        Context& context;
+
+        bool operator()(routing::RunHere& decision) const
+        {
+            runHere(state, id, std::move(decision.target), std::move(decision.address), context);
+            return true;
+        }
+        bool operator()(routing::ForwardTo& decision) const
+        {
+            forwardTo(state, id, std::move(decision.owner), std::move(decision.address), context);
+            return true;
+        }
+        bool operator()(routing::Queued& /*decision*/) const
+        {
+            state.requests.requests.at(id).phase = RequestPhase::Queued;
+            return true;
+        }
+        bool operator()(routing::NoRoute& decision) const
+        {
+            auto& request = state.requests.requests.at(id);
+            request.refusalReason = std::move(decision.reason);
+            request.retryAfter = decision.retryAfter;
+            return false;
+        }
+    };
+
+    bool placeInRegion(State& state, RequestId id, Context& context)
+    {
+        const auto& request = state.requests.requests.at(id);
+        const routing::Query query { id, request.service, request.account, request.regions.front().region,
+            request.deadline, &request.excludedOwners, request.forwarded };
+        auto decision = routing::route(state, query, context);
+        return std::visit(Placement { state, id, context }, decision);
+    }
+
+    /// Asks for the next quota of the first region. Returns whether the request now waits or all quotas are there;
+    /// false means that the region is out of the question.
+    enum class QuotaStep { Ready, Waiting, Refused };
+
+    QuotaStep takeRegionQuotas(State& state, RequestId id, Context& context)
+    {
+        auto& request = state.requests.requests.at(id);
+        const auto& quotas = request.regions.front().quotas;
+        while (request.nextQuota < quotas.size()) {
+            const auto& [key, tokens] = quotas[request.nextQuota];
+            const auto waitUntil = std::min(request.deadline, context.now + loanWait);
+            const auto decision = quota::acquire(state, key, id, tokens, waitUntil, context);
+            if (decision.kind == quota::Decision::Kind::Waiting) {
+                request.phase = RequestPhase::RegionQuota;
+                return QuotaStep::Waiting;
+            }
+            if (decision.kind == quota::Decision::Kind::Refused) {
+                request.refusalReason = "region-quota";
+                request.retryAfter = decision.retryAfter;
+                return QuotaStep::Refused;
+            }
+            ++request.nextQuota;
+        }
+        return QuotaStep::Ready;
+    }
+
+    /// Tries the regions in order until the request has a place, waits, or is refused.
+    void place(State& state, RequestId id, Context& context)
+    {
+        auto& request = state.requests.requests.at(id);
+        while (!request.regions.empty()) {
+            const auto step = takeRegionQuotas(state, id, context);
+            if (step == QuotaStep::Waiting)
+                return;
+            if (step == QuotaStep::Ready && placeInRegion(state, id, context))
+                return;
+            request.regions.erase(request.regions.begin());
+            request.nextQuota = 0;
+        }
+        const auto reason = request.refusalReason.empty() ? std::string("no-target") : request.refusalReason;
+        refuse(state, id, Refusal { 503, reason, true, request.retryAfter, {} }, context);
+    }
+
+    void chooseRegions(State& state, RequestId id, Context& context)
+    {
+        auto& request = state.requests.requests.at(id);
+        auto choices = steering::chooseRegions(state, request.service, request.account, context);
+        const auto* account = configuration::active(state)->findAccount(request.account);
+        if (account != nullptr) {
+            std::erase_if(choices, [account](const steering::RegionChoice& choice) {
+                return std::find(account->regions.begin(), account->regions.end(), choice.region)
+                    == account->regions.end();
+            });
+        }
+        request.regions = std::move(choices);
+        request.nextQuota = 0;
+        place(state, id, context);
+    }
+
+    void admitted(State& state, RequestId id, Context& context)
+    {
+        auto& request = state.requests.requests.at(id);
+        request.admittedAt = context.now;
+        routing::countFirstTry(state, request.service);
+        if (request.idempotent || request.idempotencyKey.empty() || request.account.empty())
+            return chooseRegions(state, id, context);
+        request.phase = RequestPhase::Reservation;
+        idempotency::reserve(state, id, request.account, request.idempotencyKey, context);
+    }
+
+    // --- Ending an attempt -------------------------------------------------------------------------------------------
+
+    bool mayRetry(State& state, const Request& request, const AttemptEnded& event, Context& context)
+    {
+        if (request.forwarded || context.now >= request.deadline)
+            return false;
+        if (event.outcome == AttemptOutcome::Unknown && !request.idempotent)
+            return false;
+        return routing::takeRetry(state, request.service);
+    }
+
+    Refusal refusalAfter(const Request& request, const AttemptEnded& event, TimePoint now)
+    {
+        if (request.withdrawn)
+            return { 403, "withdrawn", event.outcome == AttemptOutcome::NotRun, {}, event.detail };
+        if (event.outcome == AttemptOutcome::NotRun)
+            return { 503, event.shed ? "overloaded" : "target-unavailable", true, event.retryAfter, event.detail };
+        if (now >= request.deadline)
+            return { 504, "deadline-exceeded", false, {}, event.detail };
+        return { 502, "target-failed", false, {}, event.detail };
+    }
+
+    void retry(State& state, RequestId id, Context& context)
+    {
+        auto& request = state.requests.requests.at(id);
+        if (!request.owner.empty())
+            request.excludedOwners.insert(request.owner);
+        chooseRegions(state, id, context);
+    }
+
+    /// Stops waiting for whatever a request waits for.
+    void stopWaiting(State& state, RequestId id, RequestPhase phase, Context& context)
+    {
+        switch (phase) {
+        case RequestPhase::Admission:
+        case RequestPhase::RegionQuota:
+            return quota::cancelWait(state, id);
+        case RequestPhase::Reservation:
+            return idempotency::cancel(state, id, context);
+        case RequestPhase::Queued:
+            return routing::cancelQueued(state, id, context);
+        case RequestPhase::Running:
+            return;
+        }
+    }
+
+    bool isStillAllowed(const State& state, const Request& request)
+    {
+        if (request.account.empty())
+            return true;
+        if (request.forwarded) {
+            const auto* account = configuration::active(state)->findAccount(request.account);
+            return account != nullptr && !account->withdrawn;
+        }
+        const auto it = state.keys.keys.find(request.keyId);
+        return it != state.keys.keys.end() && it->second.account == request.account;
+    }
+
+} // namespace
+
+std::size_t inFlight(const State& state) noexcept { return state.requests.requests.size(); }
+
+// --- Arrival ---------------------------------------------------------------------------------------------------------
+
+void onRequestArrived(State& state, const RequestArrived& event, Context& context)
+{
+    const auto* active = configuration::active(state);
+    if (active == nullptr)
+        return refuseAtOnce(event.id, 503, "no-configuration", "no configuration is in force yet", context);
+    const auto* service = active->serviceForPath(event.path);
+    if (service == nullptr)
+        return refuseAtOnce(event.id, 404, "no-service", "no service has this path", context);
+    if (event.idempotencyKey.size() > idempotency::maxKeyLength) {
+        return refuseAtOnce(event.id, 400, "idempotency-key-too-long",
+            "Idempotency-Key: at most 255 bytes, found " + std::to_string(event.idempotencyKey.size()), context);
+    }
+
+    Request request;
+    if (!ActiveDocument::isOpenPath(*service, event.path)) {
+        const auto identity = keys::authenticate(state, event.key);
+        if (!identity)
+            return refuseAtOnce(event.id, 401, "bad-key", "the key is missing, unknown or withdrawn", context);
+        if (!configuration::keyedRequestsAllowed(state, context.now))
+            return refuseAtOnce(event.id, 503, "configuration-stale", "withdrawals may not have arrived", context);
+        const auto& granted = active->findAccount(identity->account)->services;
+        if (std::find(granted.begin(), granted.end(), service->name) == granted.end())
+            return refuseAtOnce(
+                event.id, 403, "service-not-granted", "the account may not use " + service->name, context);
+        request.account = identity->account;
+        request.keyId = identity->keyId;
+    }
+    const auto timeout = event.timeout.value_or(std::chrono::milliseconds(service->defaultTimeoutMs));
+    request.idempotent = event.idempotent;
+    request.service = service->name;
+    request.idempotencyKey = event.idempotencyKey;
+    request.arrivedAt = context.now;
+    request.deadline = context.now + std::min(timeout, maxTimeout);
+    const bool keyed = !request.account.empty();
+    const auto key = quota::accountKey(request.account);
+    const auto waitUntil = std::min(request.deadline, context.now + loanWait);
+    state.requests.requests.emplace(event.id, std::move(request));
+    if (!keyed)
+        return admitted(state, event.id, context);
+
+    const auto decision = quota::acquire(state, key, event.id, oneToken, waitUntil, context);
+    if (decision.kind == quota::Decision::Kind::Granted)
+        admitted(state, event.id, context);
+    else if (decision.kind == quota::Decision::Kind::Refused)
+        refuse(state, event.id, Refusal { 429, "rate-exceeded", true, decision.retryAfter, {} }, context);
+}
+
+void onForwardArrived(State& state, const ForwardArrived& event, Context& context)
+{
+    const auto* active = configuration::active(state);
+    if (active == nullptr || active->findService(event.service) == nullptr)
+        return refuseAtOnce(event.id, 503, "no-service", "this entry does not know the service", context);
+    Request request;
+    request.forwarded = true;
+    request.idempotent = event.idempotent;
+    request.service = event.service;
+    request.account = event.account;
+    request.arrivedAt = context.now;
+    request.admittedAt = context.now;
+    request.deadline = context.now + std::min(event.timeout, maxTimeout);
+    request.regions = { steering::RegionChoice { state.self.region, {} } };
+    if (!isStillAllowed(state, request))
+        return refuseAtOnce(event.id, 403, "withdrawn", "the account is withdrawn", context);
+    state.requests.requests.emplace(event.id, std::move(request));
+    place(state, event.id, context);
+}
+
+// --- Answers to what a request waits for -----------------------------------------------------------------------------
+
+void onQuotaResolved(State& state, const QuotaResolved& event, Context& context)
+{
+    const auto it = state.requests.requests.find(event.id);
+    if (it == state.requests.requests.end())
+        return;
+    auto& request = it->second;
+    if (request.phase == RequestPhase::Admission) {
+        if (event.granted)
+            return admitted(state, event.id, context);
+        return refuse(state, event.id, Refusal { 429, "rate-exceeded", true, event.retryAfter, {} }, context);
+    }
+    if (request.phase != RequestPhase::RegionQuota)
+        return;
+    if (event.granted) {
+        ++request.nextQuota;
+    } else {
+        request.refusalReason = "region-quota";
+        request.retryAfter = event.retryAfter;
+        request.regions.erase(request.regions.begin());
+        request.nextQuota = 0;
+    }
+    place(state, event.id, context);
+}
+
+void onReservationResolved(State& state, const ReservationResolved& event, Context& context)
+{
+    const auto it = state.requests.requests.find(event.id);
+    if (it == state.requests.requests.end() || it->second.phase != RequestPhase::Reservation)
+        return;
+    if (!event.available)
+        return refuse(
+            state, event.id, Refusal { 503, "reservation-unavailable", true, std::chrono::seconds(1), {} }, context);
+    if (event.state == RecordState::New) {
+        it->second.reserved = true;
+        return chooseRegions(state, event.id, context);
+    }
+    const bool complete = event.state == RecordState::Complete;
+    const auto reason = complete ? "duplicate-complete" : "duplicate-unknown";
+    // The caller asks about the first request of this key, which did run or may have: never "not run".
+    refuse(state, event.id, Refusal { 409, reason, false, {}, "a request with this idempotency key came before" },
+        context);
+}
+
+void onSlotGranted(State& state, const SlotGranted& event, Context& context)
+{
+    const auto it = state.requests.requests.find(event.id);
+    if (it != state.requests.requests.end() && it->second.phase == RequestPhase::Queued)
+        return runHere(state, event.id, event.target, event.address, context);
+    // The request ended between the grant and this event: give the slot back.
+    AttemptEnded unused;
+    unused.id = event.id;
+    unused.outcome = AttemptOutcome::NotRun;
+    routing::attemptEnded(state, event.target, unused, {}, context);
+}
+
+void onQueueRefused(State& state, const QueueRefused& event, Context& context)
+{
+    const auto it = state.requests.requests.find(event.id);
+    if (it == state.requests.requests.end() || it->second.phase != RequestPhase::Queued)
+        return;
+    auto& request = it->second;
+    request.refusalReason = event.reason;
+    request.retryAfter = event.retryAfter;
+    request.regions.erase(request.regions.begin());
+    request.nextQuota = 0;
+    place(state, event.id, context);
+}
+
+// --- Attempts --------------------------------------------------------------------------------------------------------
+
+void onAnswerStarted(State& state, const AnswerStarted& event, Context& /*context*/)
+{
+    const auto it = state.requests.requests.find(event.id);
+    if (it != state.requests.requests.end() && it->second.attempt == event.attempt)
+        it->second.answerStarted = true;
+}
+
+void onAttemptEnded(State& state, const AttemptEnded& event, Context& context)
+{
+    const auto it = state.requests.requests.find(event.id);
+    if (it == state.requests.requests.end() || it->second.phase != RequestPhase::Running
+        || it->second.attempt != event.attempt)
+        return;
+    auto& request = it->second;
+    const auto took = context.now - request.attemptStartedAt;
+    proof::requestEnded(state, request.account, event.answerStarted, context.now);
+    request.mayHaveRun = request.mayHaveRun || event.outcome == AttemptOutcome::Unknown;
+    // The slot is freed last, because that may start another request.
+    const auto freeSlot
+        = [&state, &event, &context, took, target = request.target, owner = request.owner, service = request.service] {
+              if (!target.empty())
+                  routing::attemptEnded(state, target, event, took, context);
+              else
+                  routing::forwardEnded(state, owner, service, event, context);
+          };
+
+    if (event.outcome == AttemptOutcome::Complete) {
+        finish(state, event.id, RecordState::Complete, context);
+        return freeSlot();
+    }
+    if (event.answerStarted) {
+        context.log(LogEvent::AnswerCutShort, "request=" + std::to_string(event.id) + " detail=" + event.detail);
+        finish(state, event.id, RecordState::Unknown, context);
+        return freeSlot();
+    }
+    if (request.cancelled) {
+        context.log(LogEvent::RequestCancelled, "request=" + std::to_string(event.id));
+        finish(state, event.id, request.mayHaveRun ? RecordState::Unknown : RecordState::NotRun, context);
+        return freeSlot();
+    }
+    freeSlot();
+    if (!request.withdrawn && mayRetry(state, request, event, context))
+        return retry(state, event.id, context);
+    refuse(state, event.id, refusalAfter(request, event, context.now), context);
+}
+
+void onCallerGone(State& state, const CallerGone& event, Context& context)
+{
+    const auto it = state.requests.requests.find(event.id);
+    if (it == state.requests.requests.end() || it->second.cancelled)
+        return;
+    auto& request = it->second;
+    if (request.phase == RequestPhase::Running) {
+        request.cancelled = true;
+        context.effect(CancelAttempt { event.id, request.attempt });
+        return;
+    }
+    stopWaiting(state, event.id, request.phase, context);
+    finish(state, event.id, request.mayHaveRun ? RecordState::Unknown : RecordState::NotRun, context);
+}
+
+// --- Time and configuration ------------------------------------------------------------------------------------------
+
+void onTick(State& state, Context& context)
+{
+    std::vector<RequestId> expired;
+    for (const auto& [id, request] : state.requests.requests) {
+        if (request.phase != RequestPhase::Running && context.now >= request.deadline)
+            expired.push_back(id);
+    }
+    std::sort(expired.begin(), expired.end());
+    for (const auto id : expired) {
+        stopWaiting(state, id, state.requests.requests.at(id).phase, context);
+        refuse(state, id, Refusal { 504, "deadline-exceeded", true, {}, {} }, context);
+    }
+}
+
+void onConfigurationApplied(State& state, const ConfigurationApplied& /*event*/, Context& context)
+{
+    std::vector<RequestId> withdrawn;
+    for (const auto& [id, request] : state.requests.requests) {
+        if (!request.withdrawn && !isStillAllowed(state, request))
+            withdrawn.push_back(id);
+    }
+    std::sort(withdrawn.begin(), withdrawn.end());
+    for (const auto id : withdrawn) {
+        auto& request = state.requests.requests.at(id);
+        if (request.phase == RequestPhase::Running) {
+            request.withdrawn = true;
+            context.effect(CancelAttempt { id, request.attempt });
+            continue;
+        }
+        stopWaiting(state, id, request.phase, context);
+        refuse(state, id, Refusal { 403, "withdrawn", true, {}, {} }, context);
+    }
+}
+
+} // namespace arbutuscrank::requests
--- /dev/null
+++ b/tests/fakes/placeholder.cpp
@@ -0,0 +1,1 @@
+// Replaced with the first fake.
