--- a/tests/fakes/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Replaced with the first fake.
--- /dev/null
+++ b/tests/fakes/platform_server.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "fakes/http_server.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+/// \file
+/// \brief Stand-in for the platform over HTTP: an object store with versions, conditional updates and watches, and a
+/// VM list. Its faults are set through PUT /faults.
+
+namespace arbutuscrank::fakes {
+
+/// \brief Faults of the stand-in platform.
+struct PlatformFaults {
+    bool down = false; ///< connections are closed without an answer and nothing takes effect
+    std::int64_t slowMs = 0; ///< delay before each call takes effect
+    std::int64_t loseAnswers = 0; ///< that many writes take effect but are not answered
+    bool garbage = false; ///< reads answer with bytes that are not JSON
+};
+
+/// \brief The stand-in platform, serving one address until destroyed.
+///
+/// GET /objects/KEY, PUT /objects/KEY (If-Match or If-None-Match), GET /objects/KEY?watch=V&timeoutMs=N, GET and PUT
+/// /vms, GET and PUT /faults, GET /stats.
+class PlatformServer {
+public:
+    explicit PlatformServer(const std::string& address, int threads = 64);
+    ~PlatformServer();
+    PlatformServer(const PlatformServer&) = delete;
+    PlatformServer& operator=(const PlatformServer&) = delete;
+
+private:
+    struct Object {
+        std::uint64_t version = 0;
+        std::string value;
+    };
+
+    void handle(const ServerRequest& request);
+    void readObject(const ServerRequest& request, const std::string& key);
+    void writeObject(const ServerRequest& request, const std::string& key);
+    void setFaults(const ServerRequest& request);
+    void sendFaults(const ServerRequest& request);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, Object> m_objects;
+    std::string m_vms = "[]";
+    PlatformFaults m_faults;
+    std::map<std::string, std::uint64_t> m_calls;
+    bool m_stopping = false;
+    HttpServer m_server; ///< last: its threads use the members above
+};
+
+} // namespace arbutuscrank::fakes
