--- a/include/arbutuscrank/core/effects.hpp
+++ b/include/arbutuscrank/core/effects.hpp
@@ -86,6 +86,7 @@
     std::string account;
     VmId owner;
     std::string address; ///< peer address of the owner
+    bool idempotent = true;
     TimePoint deadline;
     TimePoint admittedAt;
 };
@@ -103,6 +104,8 @@
 struct RefuseRequest {
     RequestId id = 0;
     Refusal refusal;
+    std::string service; ///< empty if the path has none
+    std::string account; ///< empty if none was authenticated
 };
 
 /// \brief Ends an attempt that nobody waits for any more; its connection is closed. Always followed by AttemptEnded.
--- a/include/arbutuscrank/core/error.hpp
+++ b/include/arbutuscrank/core/error.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/outcome/result.hpp>
+#include <boost/outcome/try.hpp>
 
 #include <string>
 #include <string_view>
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -25,14 +25,15 @@
         const auto outcome = refusal.certainlyNotRun ? RecordState::NotRun : RecordState::Unknown;
         if (!refusal.certainlyNotRun)
             context.log(LogEvent::RequestOutcomeUnknown, "request=" + std::to_string(id) + " reason=" + refusal.reason);
-        context.effect(RefuseRequest { id, std::move(refusal) });
+        context.effect(RefuseRequest { id, std::move(refusal), request.service, request.account });
         finish(state, id, outcome, context);
     }
 
     /// Refuses a request that was never recorded.
     void refuseAtOnce(RequestId id, int status, std::string reason, std::string detail, Context& context)
     {
-        context.effect(RefuseRequest { id, Refusal { status, std::move(reason), true, {}, std::move(detail) } });
+        context.effect(
+            RefuseRequest { id, Refusal { status, std::move(reason), true, {}, std::move(detail) }, {}, {} });
     }
 
     // --- Placing a request -------------------------------------------------------------------------------------------
@@ -63,7 +64,7 @@
         request.owner = owner;
         proof::requestSent(state, request.account, context.now);
         context.effect(ForwardAttempt { id, request.attempt, request.service, request.account, std::move(owner),
-            std::move(address), request.deadline, context.now });
+            std::move(address), request.idempotent, request.deadline, context.now });
     }
 
     /// Acts on a routing decision. Each returns whether the request found its place.
--- /dev/null
+++ b/src/daemon/caller_server.cpp
@@ -0,0 +1,288 @@
+#include "daemon/caller_server.hpp"
+#include "daemon/caller_sink.hpp"
+#include "daemon/socket_finder.hpp"
+
+#include <arbutuscrank/core/keys.hpp>
+
+#include <arpa/inet.h>
+#include <civetweb.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace arbutuscrank {
+
+namespace {
+
+    constexpr std::size_t lookupEntries = 3;
+    constexpr std::string_view bearerPrefix = "Bearer ";
+
+    // --- Reading a request -------------------------------------------------------------------------------------------
+
+    std::string_view header(const mg_request_info& info, std::string_view name)
+    {
+        for (int n = 0; n < info.num_headers; ++n) {
+            if (equalsIgnoringCase(info.http_headers[n].name, name))
+                return info.http_headers[n].value;
+        }
+        return {};
+    }
+
+    std::string_view presentedKey(const mg_request_info& info)
+    {
+        const auto authorization = header(info, "Authorization");
+        if (authorization.size() > bearerPrefix.size()
+            && equalsIgnoringCase(authorization.substr(0, bearerPrefix.size()), bearerPrefix))
+            return authorization.substr(bearerPrefix.size());
+        return header(info, "X-Api-Key");
+    }
+
+    bool isIdempotentMethod(std::string_view method)
+    {
+        constexpr std::array<std::string_view, 5> idempotent { "GET", "HEAD", "PUT", "DELETE", "OPTIONS" };
+        return std::find(idempotent.begin(), idempotent.end(), method) != idempotent.end();
+    }
+
+    /// A header that has a value that is not allowed.
+    struct BadHeader {
+        std::string name;
+        std::string limit;
+        std::string found;
+    };
+
+    std::variant<RequestArrived, BadHeader> arrivalOf(const mg_request_info& info, RequestId id)
+    {
+        RequestArrived arrival;
+        arrival.id = id;
+        arrival.method = info.request_method;
+        arrival.path = info.local_uri;
+        arrival.key = presentedKey(info);
+        arrival.idempotencyKey = header(info, "Idempotency-Key");
+        arrival.idempotent = isIdempotentMethod(arrival.method);
+        if (const auto mark = header(info, "X-Idempotent"); !mark.empty()) {
+            if (mark != "true" && mark != "false")
+                return BadHeader { "X-Idempotent", "true or false", std::string(mark) };
+            arrival.idempotent = mark == "true";
+        }
+        if (const auto text = header(info, "X-Request-Timeout-Ms"); !text.empty()) {
+            std::int64_t milliseconds = 0;
+            const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+            if (ec != std::errc {} || end != text.data() + text.size() || milliseconds < 1 || milliseconds > 30'000)
+                return BadHeader { "X-Request-Timeout-Ms", "1 to 30000", std::string(text) };
+            arrival.timeout = std::chrono::milliseconds(milliseconds);
+        }
+        return arrival;
+    }
+
+    IncomingRequest requestOf(const mg_request_info& info)
+    {
+        IncomingRequest request;
+        request.method = info.request_method;
+        request.path = info.request_uri;
+        if (info.query_string != nullptr)
+            request.path.append("?").append(info.query_string);
+        for (int n = 0; n < info.num_headers; ++n) {
+            if (mayPassToTarget(info.http_headers[n].name))
+                request.headers.emplace_back(info.http_headers[n].name, info.http_headers[n].value);
+        }
+        return request;
+    }
+
+    enum class BodyResult { Whole, TooLarge, CutShort };
+
+    BodyResult readBody(mg_connection* connection, const mg_request_info& info, std::size_t limit, std::string& body)
+    {
+        if (info.content_length > static_cast<long long>(limit))
+            return BodyResult::TooLarge;
+        std::array<char, 16384> buf {};
+        int n = 0;
+        while (info.content_length != 0 && (n = mg_read(connection, buf.data(), buf.size())) > 0) {
+            body.append(buf.data(), static_cast<std::size_t>(n));
+            if (body.size() > limit)
+                return BodyResult::TooLarge;
+        }
+        const bool whole
+            = info.content_length < 0 ? n == 0 : body.size() == static_cast<std::size_t>(info.content_length);
+        return whole ? BodyResult::Whole : BodyResult::CutShort;
+    }
+
+    std::uint32_t clientAddress(const mg_request_info& info)
+    {
+        std::array<char, 64> buf {};
+        const auto* query = info.query_string;
+        const bool given = query != nullptr
+            && mg_get_var(query, std::char_traits<char>::length(query), "client", buf.data(), buf.size()) > 0;
+        in_addr address {};
+        if (inet_pton(AF_INET, given ? buf.data() : info.remote_addr, &address) != 1)
+            return 0;
+        return ntohl(address.s_addr);
+    }
+
+} // namespace
+
+struct CallerServer::Connection {
+    int socket = -1;
+    std::string keyId; ///< of the last key shown
+    bool busy = false;
+    bool mustClose = false;
+};
+
+CallerServer::CallerServer(
+    CallerServerSettings settings, SessionServices services, SessionTable& sessions, Metrics& metrics)
+    : m_settings(std::move(settings))
+    , m_services(services)
+    , m_sessions(sessions)
+    , m_metrics(metrics)
+{
+}
+
+CallerServer::~CallerServer() { stop(); }
+
+Result<void> CallerServer::start()
+{
+    const auto threads = std::to_string(m_settings.threads);
+    const std::array options { "listening_ports", m_settings.listenAddress.c_str(), "num_threads", threads.c_str(),
+        "enable_keep_alive", "yes", "keep_alive_timeout_ms", "60000", "request_timeout_ms", "30000", "tcp_nodelay", "1",
+        "max_request_size", "16384", static_cast<const char*>(nullptr) };
+    mg_callbacks callbacks {};
+    callbacks.init_connection = &CallerServer::openConnection;
+    callbacks.connection_closed = &CallerServer::closedConnection;
+    m_context = mg_start(&callbacks, this, const_cast<const char**>(options.data()));
+    if (m_context == nullptr)
+        return Error { ErrorCode::Unavailable, "caller.listen", m_settings.listenAddress, "cannot bind the address" };
+    mg_set_request_handler(m_context, "/v1/lookup", &CallerServer::handleLookup, this);
+    mg_set_request_handler(m_context, "/", &CallerServer::handleRequest, this);
+    return outcome::success();
+}
+
+void CallerServer::stop()
+{
+    if (m_context != nullptr)
+        mg_stop(std::exchange(m_context, nullptr));
+}
+
+void CallerServer::publish(std::shared_ptr<const LookupTable> table) { m_table.store(std::move(table)); }
+
+// --- Connections -----------------------------------------------------------------------------------------------------
+
+int CallerServer::openConnection(const mg_connection* connection, void** data)
+{
+    auto* server = static_cast<CallerServer*>(mg_get_user_data(mg_get_context(connection)));
+    auto* record = new Connection;
+    const std::lock_guard lock(server->m_mutex);
+    server->m_connections.insert(record);
+    *data = record;
+    return 0;
+}
+
+void CallerServer::closedConnection(const mg_connection* connection)
+{
+    auto* server = static_cast<CallerServer*>(mg_get_user_data(mg_get_context(connection)));
+    const std::unique_ptr<Connection> record(static_cast<Connection*>(mg_get_user_connection_data(connection)));
+    const std::lock_guard lock(server->m_mutex);
+    server->m_connections.erase(record.get());
+}
+
+void CallerServer::noteKey(Connection& connection, std::string_view key, bool busy)
+{
+    const std::lock_guard lock(m_mutex);
+    connection.keyId = key.substr(0, key.find('.'));
+    connection.busy = busy;
+}
+
+void CallerServer::closeConnections(std::string_view /*account*/, std::string_view keyId)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto* it : m_connections) {
+        if (it->keyId != keyId)
+            continue;
+        it->mustClose = true;
+        if (!it->busy && it->socket >= 0)
+            shutdown(it->socket, SHUT_RDWR);
+    }
+}
+
+// --- Requests --------------------------------------------------------------------------------------------------------
+
+int CallerServer::handleRequest(mg_connection* connection, void* server)
+{
+    static_cast<CallerServer*>(server)->serveRequest(connection);
+    return 1;
+}
+
+void CallerServer::serveRequest(mg_connection* connection)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const auto* info = mg_get_request_info(connection);
+    auto& record = *static_cast<Connection*>(mg_get_user_connection_data(connection));
+    if (record.socket < 0) {
+        record.socket = findSocket(info->remote_addr, static_cast<std::uint16_t>(info->remote_port),
+            static_cast<std::uint16_t>(info->server_port), {});
+    }
+    noteKey(record, presentedKey(*info).substr(0, keys::maxKeyLength), true);
+    CallerSink sink(connection, m_leaving.load());
+    auto request = requestOf(*info);
+    const auto body = readBody(connection, *info, m_settings.maxBodyBytes, request.body);
+    const auto arrival = arrivalOf(*info, m_sessions.nextId());
+    if (body == BodyResult::CutShort) {
+        mg_disable_connection_keep_alive(connection);
+    } else if (body == BodyResult::TooLarge) {
+        mg_disable_connection_keep_alive(connection);
+        sink.refuse({ 413, "body-too-large", true, {},
+            "request body: at most " + std::to_string(m_settings.maxBodyBytes) + " bytes" });
+    } else if (const auto* bad = std::get_if<BadHeader>(&arrival)) {
+        sink.refuse({ 400, "bad-header", true, {}, bad->name + ": " + bad->limit + ", found " + bad->found });
+    } else {
+        auto event = std::get<RequestArrived>(arrival);
+        event.bodyBytes = request.body.size();
+        const auto session = std::make_shared<RequestSession>(m_services, event.id, std::move(request), sink);
+        session->setCallerSocket(record.socket);
+        m_sessions.add(session);
+        const auto result = session->serve(event);
+        session->setCallerSocket(-1);
+        m_sessions.remove(event.id);
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
+        if (result.refused)
+            m_metrics.recordRefusal(result.account, result.service, result.reason);
+        else if (result.answered)
+            m_metrics.recordAnswer(result.account, result.service, took.count(), result.whole);
+        if (result.callerGone)
+            mg_disable_connection_keep_alive(connection);
+    }
+    const std::lock_guard lock(m_mutex);
+    record.busy = false;
+    if (record.mustClose)
+        mg_disable_connection_keep_alive(connection);
+}
+
+// --- Look-ups --------------------------------------------------------------------------------------------------------
+
+int CallerServer::handleLookup(mg_connection* connection, void* server)
+{
+    static_cast<CallerServer*>(server)->serveLookup(connection);
+    return 1;
+}
+
+void CallerServer::serveLookup(mg_connection* connection) const
+{
+    const auto* info = mg_get_request_info(connection);
+    const auto table = m_table.load();
+    CallerSink sink(connection, m_leaving.load());
+    if (!table)
+        return sink.refuse({ 503, "no-configuration", true, std::chrono::seconds(1), "no look-up table yet" });
+    std::string body = R"({"entries":[)";
+    bool first = true;
+    for (const auto* it : table->lookup(clientAddress(*info), {}, lookupEntries)) {
+        body.append(first ? "" : ",").append(R"({"address":")").append(it->address);
+        body.append(R"(","region":")").append(it->region).append(R"("})");
+        first = false;
+    }
+    body.append(R"(],"ttlSeconds":)").append(std::to_string(table->ttlSeconds())).append("}");
+    sink.sendJson(200, body, { "Cache-Control: max-age=" + std::to_string(table->ttlSeconds()) });
+    m_metrics.recordLookup();
+}
+
+} // namespace arbutuscrank
--- /dev/null
+++ b/src/daemon/incoming_request.cpp
@@ -0,0 +1,53 @@
+#include "daemon/incoming_request.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace arbutuscrank {
+
+namespace {
+
+    constexpr std::array<std::string_view, 9> hopByHop { "connection", "keep-alive", "proxy-authenticate", "te",
+        "trailer", "transfer-encoding", "upgrade", "content-length", "proxy-connection" };
+
+    /// Headers that carry keys, or that only an entry may set.
+    constexpr std::array<std::string_view, 8> neverToTarget { "authorization", "x-api-key", "proxy-authorization",
+        "x-client-account", "x-deadline-ms", "host", "expect", "x-request-timeout-ms" };
+
+    constexpr std::array<std::string_view, 3> neverToCaller { "x-request-outcome", "x-refusal-reason", "x-load" };
+
+    constexpr char lower(char c) noexcept { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+
+    template <std::size_t N> bool contains(const std::array<std::string_view, N>& names, std::string_view name) noexcept
+    {
+        return std::any_of(
+            names.begin(), names.end(), [name](std::string_view it) { return equalsIgnoringCase(it, name); });
+    }
+
+} // namespace
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b) noexcept
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::string_view headerValue(const HeaderList& headers, std::string_view name) noexcept
+{
+    for (const auto& [key, value] : headers) {
+        if (equalsIgnoringCase(key, name))
+            return value;
+    }
+    return {};
+}
+
+bool mayPassToTarget(std::string_view headerName) noexcept
+{
+    return !contains(hopByHop, headerName) && !contains(neverToTarget, headerName);
+}
+
+bool mayPassToCaller(std::string_view headerName) noexcept
+{
+    return !contains(hopByHop, headerName) && !contains(neverToCaller, headerName);
+}
+
+} // namespace arbutuscrank
--- /dev/null
+++ b/src/daemon/peer_service.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "daemon/log.hpp"
+#include "daemon/request_session.hpp"
+#include "daemon/task_queue.hpp"
+
+#include <arbutuscrank/peer/transport.hpp>
+
+#include <memory>
+
+/// \file
+/// \brief Brings messages of peers to the core, and serves requests that other entries forward.
+
+namespace arbutuscrank {
+
+/// \brief Receives what the peer transport delivers.
+class PeerService final : public PeerTransportHandler {
+public:
+    /// \param threads forwarded requests served at a time
+    PeerService(SessionServices services, SessionTable& sessions, const Log& log, std::size_t threads);
+
+    void onMessage(const ProcessId& from, PeerMessage message) override;
+    void onPeerLost(const VmId& vm, const Error& error) override;
+    void onForward(const ProcessId& from, ForwardHead head, std::string body,
+        std::shared_ptr<ForwardResponder> responder) override;
+
+    void stop();
+
+private:
+    void serve(const ProcessId& from, const ForwardHead& head, std::string body, ForwardResponder& responder);
+
+    SessionServices m_services;
+    SessionTable& m_sessions;
+    const Log& m_log;
+    TaskQueue m_messages; ///< one thread, so that messages keep their order and the transport never waits for the core
+    TaskQueue m_forwards;
+};
+
+} // namespace arbutuscrank
