Add membership: heartbeats, suspicion, positive evidence, relays and peer set

Cause: the topic was a thin stand-in without peers, so that daemons did not know each other. Change: VM list and heartbeats as sources of members, suspicion with probes before it, goneness from the VM list or a later incarnation, two relays per failure domain, the peer set, and dating of news that arrived during a pause. membership::noteProcess lets the quota topic register ledger holders that no other source named.

--- a/include/arbutuscrank/core/membership.hpp
+++ b/include/arbutuscrank/core/membership.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,12 +18,21 @@
 
 /// \brief What this daemon knows of another one.
 struct MemberRecord {
-    Member member;
-    std::optional<TimePoint> lastHeard; ///< of a heartbeat received directly
+    Member member; ///< of the newest incarnation known; incarnation 0 if only the VM list named it
+    std::optional<TimePoint> lastHeard; ///< of a heartbeat of this incarnation received directly
     std::optional<TimePoint> missingSince; ///< since when the VM list leaves the VM out
     bool suspected = true; ///< true until heard
     bool gone = false; ///< positive evidence that this incarnation no longer runs
     std::uint32_t heartbeatsSinceSuspicion = 0;
+    Incarnation goneThrough = 0; ///< this incarnation and all earlier ones are gone
+    std::optional<TimePoint> goneSince; ///< when the VM list's evidence was complete
+    std::optional<TimePoint> recoveryFrom; ///< first heartbeat of those in \ref heartbeatsSinceSuspicion
+    std::optional<TimePoint> peerSince; ///< since when it is in the peer set
+    TimePoint avoidUntil; ///< a silent peer of another region is not chosen again before
+    TimePoint lastSent; ///< of the last heartbeat to it
+    std::uint64_t relayWeight = 0; ///< rendezvous weight within its failure domain
+    bool announcedLeaving = false; ///< by this incarnation itself
+    bool listedLeaving = false; ///< by the VM list
 };
 
 /// \brief State of the topic; written only by the functions below.
@@ -33,10 +43,32 @@
     TimePoint nextList;
     bool listOpen = false;
     std::vector<PeerEndpoint> peers; ///< as last given in \ref SetPeers
+    TimePoint listSentAt;
+    TimePoint listUnpairedUntil; ///< an answer to a call given up may still arrive until then
+    bool listFailing = false; ///< the failure was logged
+    TimePoint nextCheck; ///< of suspicions
+    std::optional<TimePoint> lastTick;
+    std::optional<TimePoint> pausedFrom; ///< last tick before the latest pause of this process
+    TimePoint drainUntil; ///< messages until then may have been buffered during the pause
+    TimePoint graceFrom; ///< silence counts from here at the earliest
+    bool rolesChanged = true; ///< relays and peers must be computed again
+    std::set<VmId, std::less<>> relays; ///< of every failure domain
+    std::map<std::string, TimePoint, std::less<>> regionHeard; ///< last heartbeat from each region
 };
 
 namespace membership {
 
+    /// Time between heartbeats to a peer.
+    inline constexpr Duration heartbeatInterval = std::chrono::seconds(1);
+    /// Silence after which a member is suspected.
+    inline constexpr Duration suspicionTime = std::chrono::seconds(3);
+    /// Heartbeats within \ref suspicionTime that end a suspicion.
+    inline constexpr std::uint32_t heartbeatsToTrust = 2;
+    /// Most that the VM list lags behind.
+    inline constexpr Duration vmListLag = std::chrono::seconds(30);
+    /// Relays of each failure domain.
+    inline constexpr std::size_t relaysPerFailureDomain = 2;
+
     /// \brief Record of another VM, or null.
     [[nodiscard]] const MemberRecord* find(const State& state, std::string_view vm);
 
@@ -65,6 +97,14 @@
     /// \brief VMs in rendezvous order for a key: the first is the owner, the others follow if it is lost.
     [[nodiscard]] std::vector<VmId> rendezvousOrder(std::string_view key, std::span<const VmId> vms);
 
+    /// \brief Time to which news that arrives now is dated: now, or the start of a pause of this process if the news
+    /// may have been buffered while it lasted.
+    [[nodiscard]] TimePoint evidenceTime(const State& state, TimePoint now) noexcept;
+
+    /// \brief Makes an incarnation known that some other record (such as a ledger) names, so that the VM list can give
+    /// evidence about it. Does not count as having heard it. The evidence needs \ref vmListLag from here on.
+    void noteProcess(State& state, const ProcessId& process, Context& context);
+
     void onTick(State& state, Context& context);
     void onVmListRead(State& state, const VmListRead& event, Context& context);
     void onVmListFailed(State& state, const VmListFailed& event, Context& context);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -1,11 +1,11 @@
-#include <arbutuscrank/core/state.hpp>
+#include "membership_detail.hpp"
 
 #include <algorithm>
 
-#include <xxhash.h>
-
 namespace arbutuscrank::membership {
 
+// --- Queries ---------------------------------------------------------------------------------------------------------
+
 const MemberRecord* find(const State& state, std::string_view vm)
 {
     const auto it = state.membership.members.find(vm);
@@ -22,8 +22,10 @@
 
 bool isGone(const State& state, const ProcessId& process)
 {
+    if (process.vm == state.self.process.vm)
+        return process.incarnation < state.self.process.incarnation;
     const auto* record = find(state, process.vm);
-    return record != nullptr && record->member.process.incarnation == process.incarnation && record->gone;
+    return record != nullptr && process.incarnation != 0 && process.incarnation <= record->goneThrough;
 }
 
 Member selfMember(const State& state)
@@ -36,45 +38,142 @@
 std::vector<Member> activeMembers(const State& state, std::string_view region)
 {
     std::vector<Member> members;
-    if (!state.membership.selfLeaving && (region.empty() || region == state.self.region))
-        members.push_back(selfMember(state));
+    const auto addSelf = [&] {
+        if (!state.membership.selfLeaving && (region.empty() || region == state.self.region))
+            members.push_back(selfMember(state));
+    };
+    bool selfAdded = false;
     for (const auto& [vm, record] : state.membership.members) {
+        if (!selfAdded && state.self.process.vm < vm) {
+            addSelf();
+            selfAdded = true;
+        }
         if (!record.suspected && !record.member.leaving && (region.empty() || region == record.member.region))
             members.push_back(record.member);
     }
-    std::sort(
-        members.begin(), members.end(), [](const Member& a, const Member& b) { return a.process.vm < b.process.vm; });
+    if (!selfAdded)
+        addSelf();
     return members;
 }
 
-bool isRelay(const State& /*state*/, std::string_view /*vm*/) { return true; }
+bool isRelay(const State& state, std::string_view vm) { return state.membership.relays.contains(vm); }
+
+bool hearsMajorityOfRegions(const State& state, TimePoint now)
+{
+    const auto* active = configuration::active(state);
+    if (active == nullptr)
+        return false;
+    const auto& regions = active->document().regions;
+    const auto& regionHeard = state.membership.regionHeard;
+    const auto heard = std::count_if(regions.begin(), regions.end(), [&](const Region& region) {
+        const auto it = regionHeard.find(region.name);
+        return region.name == state.self.region || (it != regionHeard.end() && now - it->second <= suspicionTime);
+    });
+    return 2 * static_cast<std::size_t>(heard) > regions.size();
+}
+
+double heardShareOfRegion(const State& state)
+{
+    std::size_t known = 0;
+    std::size_t heard = 0;
+    for (const auto& [vm, record] : state.membership.members) {
+        if (record.member.region != state.self.region || record.gone || record.member.leaving)
+            continue;
+        ++known;
+        heard += record.suspected ? 0 : 1;
+    }
+    return known == 0 ? 1.0 : static_cast<double>(heard) / static_cast<double>(known);
+}
+
+} // namespace arbutuscrank::membership
+
+namespace arbutuscrank::membership::detail {
+
+// --- Records ---------------------------------------------------------------------------------------------------------
 
-bool hearsMajorityOfRegions(const State& /*state*/, TimePoint /*now*/) { return true; }
+namespace {
 
-double heardShareOfRegion(const State& /*state*/) { return 1.0; }
+    LogEvent logEventOf(MemberChange change)
+    {
+        switch (change) {
+        case MemberChange::Joined:
+            return LogEvent::MemberJoined;
+        case MemberChange::Trusted:
+            return LogEvent::MemberTrusted;
+        case MemberChange::Suspected:
+            return LogEvent::MemberSuspected;
+        case MemberChange::Leaving:
+            return LogEvent::MemberLeaving;
+        case MemberChange::Gone:
+            break;
+        }
+        return LogEvent::MemberGone;
+    }
+
+} // namespace
+
+void report(State& state, const MemberRecord& record, MemberChange change, Context& context)
+{
+    state.membership.rolesChanged = true;
+    const auto& process = record.member.process;
+    context.log(logEventOf(change),
+        "vm=" + process.vm + " incarnation=" + std::to_string(process.incarnation) + " region=" + record.member.region);
+    context.followUp(MemberChanged { process, change });
+}
+
+MemberRecord& ensure(State& state, const VmId& vm)
+{
+    const auto [it, added] = state.membership.members.try_emplace(vm);
+    if (added) {
+        it->second.member.process.vm = vm;
+        state.membership.rolesChanged = true;
+    }
+    return it->second;
+}
 
-std::vector<VmId> rendezvousOrder(std::string_view key, std::span<const VmId> vms)
+void startIncarnation(State& state, MemberRecord& record, Incarnation incarnation, Context& context)
 {
-    const auto seed = XXH3_64bits(key.data(), key.size());
-    std::vector<std::pair<std::uint64_t, VmId>> weights;
-    weights.reserve(vms.size());
-    for (const auto& it : vms)
-        weights.emplace_back(XXH3_64bits_withSeed(it.data(), it.size(), seed), it);
-    std::sort(weights.begin(), weights.end(), std::greater<>());
-    std::vector<VmId> order;
-    order.reserve(weights.size());
-    for (auto& [weight, vm] : weights)
-        order.push_back(std::move(vm));
-    return order;
+    record.member.process.incarnation = incarnation;
+    record.lastHeard.reset();
+    record.missingSince.reset();
+    record.goneSince.reset();
+    record.recoveryFrom.reset();
+    record.heartbeatsSinceSuspicion = 0;
+    record.suspected = true;
+    record.gone = false;
+    record.announcedLeaving = false;
+    record.avoidUntil = {};
+    record.member.leaving = record.listedLeaving;
+    report(state, record, MemberChange::Joined, context);
 }
 
-void onTick(State& /*state*/, Context& /*context*/) { }
-void onVmListRead(State& /*state*/, const VmListRead& /*event*/, Context& /*context*/) { }
-void onVmListFailed(State& /*state*/, const VmListFailed& /*event*/, Context& /*context*/) { }
-void onHeartbeat(State& /*state*/, const Heartbeat& /*message*/, Context& /*context*/) { }
-void onPeerConnectionLost(State& /*state*/, const PeerConnectionLost& /*event*/, Context& /*context*/) { }
-void onConfigurationApplied(State& /*state*/, const ConfigurationApplied& /*event*/, Context& /*context*/) { }
+void updateLeaving(State& state, MemberRecord& record, Context& context)
+{
+    const bool leaving = record.announcedLeaving || record.listedLeaving;
+    if (leaving == record.member.leaving)
+        return;
+    record.member.leaving = leaving;
+    state.membership.rolesChanged = true;
+    if (leaving)
+        report(state, record, MemberChange::Leaving, context);
+    else if (!record.suspected)
+        report(state, record, MemberChange::Trusted, context);
+}
 
-void startLeaving(State& state, Context& /*context*/) { state.membership.selfLeaving = true; }
+void updatePlace(State& state, MemberRecord& record, const Member& member)
+{
+    const auto set = [&state](std::string& own, const std::string& given) {
+        if (given.empty() || own == given)
+            return;
+        own = given;
+        state.membership.rolesChanged = true;
+    };
+    set(record.member.region, member.region);
+    if (!member.failureDomain.empty() && member.failureDomain != record.member.failureDomain)
+        record.relayWeight = 0;
+    set(record.member.failureDomain, member.failureDomain);
+    set(record.member.callerAddress, member.callerAddress);
+    set(record.member.peerAddress, member.peerAddress);
+}
 
-} // namespace arbutuscrank::membership
+} // namespace arbutuscrank::membership::detail
--- /dev/null
+++ b/src/core/membership_roles.cpp
@@ -0,0 +1,169 @@
+#include "membership_detail.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <xxhash.h>
+
+namespace arbutuscrank::membership {
+
+namespace {
+
+    std::uint64_t weightOf(std::uint64_t seed, std::string_view vm) noexcept
+    {
+        return XXH3_64bits_withSeed(vm.data(), vm.size(), seed);
+    }
+
+    std::uint64_t seedOf(std::string_view key) noexcept { return XXH3_64bits(key.data(), key.size()); }
+
+    /// A daemon hears only some members of other regions, so silence counts against those only that it is a peer of.
+    bool mayRelay(const State& state, const MemberRecord& record, TimePoint now)
+    {
+        if (record.gone || record.member.leaving || record.member.peerAddress.empty())
+            return false;
+        if (record.member.region == state.self.region)
+            return !record.suspected;
+        return !record.suspected || (now >= record.avoidUntil && !record.missingSince);
+    }
+
+    struct Candidate {
+        std::uint64_t weight = 0;
+        const VmId* vm = nullptr;
+    };
+
+    /// Best candidates of one failure domain, highest weight first.
+    struct BestOfDomain {
+        std::array<Candidate, relaysPerFailureDomain> best;
+
+        void offer(Candidate candidate)
+        {
+            for (auto& it : best) {
+                if (it.vm == nullptr || candidate.weight > it.weight)
+                    std::swap(it, candidate);
+                if (candidate.vm == nullptr)
+                    return;
+            }
+        }
+    };
+
+    /// The member of a region to connect to: a relay if one is known, else the one that was avoided longest ago.
+    const MemberRecord* chooseRemote(const State& state, std::string_view region)
+    {
+        const auto seed = seedOf(state.self.process.vm);
+        const MemberRecord* best = nullptr;
+        const auto better = [&](const MemberRecord& a, const MemberRecord& b) {
+            const bool relayA = isRelay(state, a.member.process.vm);
+            const bool relayB = isRelay(state, b.member.process.vm);
+            if (relayA != relayB)
+                return relayA;
+            if (!relayA && a.avoidUntil != b.avoidUntil)
+                return a.avoidUntil < b.avoidUntil;
+            return weightOf(seed, a.member.process.vm) > weightOf(seed, b.member.process.vm);
+        };
+        for (const auto& [vm, record] : state.membership.members) {
+            if (record.member.region != region || record.gone || record.member.peerAddress.empty())
+                continue;
+            if (best == nullptr || better(record, *best))
+                best = &record;
+        }
+        return best;
+    }
+
+    void computeRelays(State& state, TimePoint now)
+    {
+        std::map<std::string_view, BestOfDomain> domains;
+        const auto& self = state.self;
+        if (!state.membership.selfLeaving)
+            domains[self.failureDomain].offer(
+                { weightOf(seedOf(self.failureDomain), self.process.vm), &self.process.vm });
+        for (auto& [vm, record] : state.membership.members) {
+            if (!mayRelay(state, record, now))
+                continue;
+            if (record.relayWeight == 0)
+                record.relayWeight = weightOf(seedOf(record.member.failureDomain), vm);
+            domains[record.member.failureDomain].offer({ record.relayWeight, &vm });
+        }
+        state.membership.relays.clear();
+        for (const auto& [name, domain] : domains) {
+            for (const auto& it : domain.best) {
+                if (it.vm != nullptr)
+                    state.membership.relays.insert(*it.vm);
+            }
+        }
+    }
+
+    /// Peers: the whole own region, and of each other region all relays (for a relay) or one.
+    std::vector<PeerEndpoint> computePeers(State& state)
+    {
+        const bool relay = isRelay(state, state.self.process.vm);
+        std::map<std::string_view, const MemberRecord*> remote;
+        for (const auto& [vm, record] : state.membership.members) {
+            if (!record.gone && !record.member.region.empty() && record.member.region != state.self.region)
+                remote.try_emplace(record.member.region, nullptr);
+        }
+        std::set<std::string_view> chosen;
+        for (const auto& [region, unused] : remote) {
+            if (const auto* record = chooseRemote(state, region))
+                chosen.insert(record->member.process.vm);
+        }
+        std::vector<PeerEndpoint> peers;
+        for (const auto& [vm, record] : state.membership.members) {
+            if (record.gone || record.member.peerAddress.empty())
+                continue;
+            const bool ownRegion = record.member.region == state.self.region;
+            if (ownRegion || chosen.contains(vm) || (relay && isRelay(state, vm)))
+                peers.push_back({ vm, record.member.peerAddress });
+        }
+        return peers;
+    }
+
+    bool same(const std::vector<PeerEndpoint>& a, const std::vector<PeerEndpoint>& b)
+    {
+        return std::equal(
+            a.begin(), a.end(), b.begin(), b.end(), [](const PeerEndpoint& left, const PeerEndpoint& right) {
+                return left.vm == right.vm && left.address == right.address;
+            });
+    }
+
+} // namespace
+
+std::vector<VmId> rendezvousOrder(std::string_view key, std::span<const VmId> vms)
+{
+    const auto seed = seedOf(key);
+    std::vector<std::pair<std::uint64_t, VmId>> weights;
+    weights.reserve(vms.size());
+    for (const auto& it : vms)
+        weights.emplace_back(weightOf(seed, it), it);
+    std::sort(weights.begin(), weights.end(), std::greater<>());
+    std::vector<VmId> order;
+    order.reserve(weights.size());
+    for (auto& [weight, vm] : weights)
+        order.push_back(std::move(vm));
+    return order;
+}
+
+void detail::refreshRoles(State& state, Context& context)
+{
+    auto& own = state.membership;
+    if (!own.rolesChanged)
+        return;
+    own.rolesChanged = false;
+    computeRelays(state, context.now);
+    auto peers = computePeers(state);
+    if (same(peers, own.peers))
+        return;
+    own.peers = std::move(peers);
+    auto next = own.peers.begin();
+    for (auto& [vm, record] : own.members) {
+        const bool peer = next != own.peers.end() && next->vm == vm;
+        if (!peer)
+            record.peerSince.reset();
+        else if (!record.peerSince)
+            record.peerSince = context.now;
+        if (peer)
+            ++next;
+    }
+    context.effect(SetPeers { own.peers });
+}
+
+} // namespace arbutuscrank::membership
