Add operators' interface, command-line tool, demo script and system test harness

Cause: operators need an API and a tool; system tests need real processes. Change: admin server (document, edits, status, proof, dump, metrics), arbutuscrank tool, relayed proof questions across regions, demo script, cluster harness and the first system tests, API, glossary and log pages.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
-PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy libcivetweb-dev libnghttp2-dev libboost-dev \
+PACKAGES = curl g++ cmake ninja-build ccache clang-format clang-tidy libcivetweb-dev libnghttp2-dev libboost-dev \
 	libdocopt-dev libspdlog-dev librapidcheck-dev nlohmann-json3-dev libssl-dev libgtest-dev libbenchmark-dev \
 	libxxhash-dev
 
--- a/include/arbutuscrank/core/proof.hpp
+++ b/include/arbutuscrank/core/proof.hpp
@@ -27,10 +27,19 @@
     std::map<VmId, std::optional<ProofReply>> replies;
 };
 
+/// \brief A question passed on to the members of this region for an entry of another region.
+struct RelayedProofQuery {
+    VmId origin;
+    std::uint64_t queryId = 0; ///< number at the origin
+    TimePoint until;
+};
+
 /// \brief State of the topic; written only by the functions below.
 struct ProofState {
     std::map<std::string, AccountTraffic, std::less<>> accounts;
     std::map<std::uint64_t, ProofQuery> queries;
+    std::map<std::uint64_t, RelayedProofQuery> relayed; ///< by number at this relay
+    std::uint64_t lastRelayed = 0;
 };
 
 namespace proof {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,1 +1,14 @@
-int main() { return 0; }
+#include "cli/command_line.hpp"
+
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    try {
+        const std::vector<std::string> arguments(argv + 1, argv + argc);
+        return static_cast<int>(arbutuscrank::runCommand(arguments, std::cout, std::cerr));
+    } catch (const std::exception& ec) {
+        std::cerr << "arbutuscrank: " << ec.what() << '\n';
+        return static_cast<int>(arbutuscrank::ExitCode::Unreachable);
+    }
+}
--- a/src/core/proof.cpp
+++ b/src/core/proof.cpp
@@ -1,5 +1,8 @@
 #include <arbutuscrank/core/state.hpp>
 
+#include <set>
+#include <string_view>
+
 namespace arbutuscrank::proof {
 
 namespace {
@@ -7,6 +10,8 @@
     /// Longest wait for the answers of all entries.
     constexpr Duration queryTimeout = std::chrono::seconds(2);
 
+    constexpr std::uint64_t relayedQueryBit = 1ULL << 63U;
+
     std::int64_t age(const std::optional<TimePoint>& since, TimePoint now)
     {
         return since ? (now - *since).count() : -1;
@@ -49,6 +54,28 @@
         context.effect(std::move(result));
     }
 
+    void askOwnRegion(State& state, const ProofRequest& request, Context& context)
+    {
+        for (const auto& [vm, record] : state.membership.members) {
+            if (!record.gone && record.member.region == state.self.region)
+                context.send(vm, request);
+        }
+    }
+
+    /// Asks the members of this region, and one member of each other region, which asks the rest of its region.
+    void ask(State& state, const ProofRequest& request, Context& context)
+    {
+        askOwnRegion(state, request, context);
+        std::set<std::string_view> regions;
+        for (const auto& peer : state.membership.peers) {
+            const auto* record = membership::find(state, peer.vm);
+            if (record == nullptr || record->suspected || record->member.region == state.self.region)
+                continue;
+            if (regions.insert(record->member.region).second)
+                context.send(peer.vm, request);
+        }
+    }
+
     void completeIfAnswered(State& state, std::uint64_t queryId, Context& context)
     {
         for (const auto& [vm, reply] : state.proof.queries.at(queryId).replies) {
@@ -88,6 +115,7 @@
     }
     for (const auto id : expired)
         complete(state, id, context);
+    std::erase_if(state.proof.relayed, [&context](const auto& it) { return context.now >= it.second.until; });
 }
 
 void onConfigurationApplied(State& state, const ConfigurationApplied& /*event*/, Context& context)
@@ -115,26 +143,40 @@
     ProofQuery query { event.account, context.now + queryTimeout, {} };
     query.replies[state.self.process.vm] = report(state, event.queryId, event.account, context.now);
     for (const auto& [vm, record] : state.membership.members) {
-        if (record.gone)
-            continue;
-        query.replies[vm] = std::nullopt;
-        context.send(vm, ProofRequest { event.queryId, event.account });
+        if (!record.gone)
+            query.replies[vm] = std::nullopt;
     }
     state.proof.queries[event.queryId] = std::move(query);
+    ask(state, ProofRequest { event.queryId, event.account }, context);
     completeIfAnswered(state, event.queryId, context);
 }
 
 void onProofRequest(State& state, const ProcessId& from, const ProofRequest& message, Context& context)
 {
     context.send(from.vm, report(state, message.queryId, message.account, context.now));
+    const auto* asker = membership::find(state, from.vm);
+    if (asker == nullptr || asker->member.region == state.self.region)
+        return;
+    // Entries hold sessions to few members of other regions, so this one asks the rest of its region for them. Its
+    // own numbers have the top bit, which keeps them apart from those of its own questions.
+    const auto id = relayedQueryBit | ++state.proof.lastRelayed;
+    state.proof.relayed[id] = { from.vm, message.queryId, context.now + queryTimeout };
+    askOwnRegion(state, ProofRequest { id, message.account }, context);
 }
 
-void onProofReply(State& state, const ProcessId& from, const ProofReply& message, Context& context)
+void onProofReply(State& state, const ProcessId& /*from*/, const ProofReply& message, Context& context)
 {
+    const auto relayed = state.proof.relayed.find(message.queryId);
+    if (relayed != state.proof.relayed.end()) {
+        auto passedOn = message;
+        passedOn.queryId = relayed->second.queryId;
+        context.send(relayed->second.origin, std::move(passedOn));
+        return;
+    }
     const auto it = state.proof.queries.find(message.queryId);
     if (it == state.proof.queries.end())
         return;
-    const auto reply = it->second.replies.find(from.vm);
+    const auto reply = it->second.replies.find(message.process.vm);
     if (reply == it->second.replies.end())
         return;
     reply->second = message;
--- /dev/null
+++ b/src/daemon/admin_server.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "daemon/core_runner.hpp"
+#include "daemon/metrics.hpp"
+
+#include <arbutuscrank/platform/configuration_writer.hpp>
+#include <arbutuscrank/platform/platform.hpp>
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+struct mg_connection;
+struct mg_context;
+struct mg_request_info;
+
+/// \file
+/// \brief The operators' interface (docs/api.md).
+
+namespace arbutuscrank {
+
+/// \brief Settings of \ref AdminServer.
+struct AdminServerSettings {
+    std::string listenAddress; ///< "ip:port"
+    std::string keyDigest; ///< SHA-256 of the operators' key, 64 hex digits
+};
+
+/// \brief Serves operators on CivetWeb.
+class AdminServer {
+public:
+    AdminServer(AdminServerSettings settings, CoreRunner& core, Platform& platform, const Metrics& metrics);
+    ~AdminServer();
+    AdminServer(const AdminServer&) = delete;
+    AdminServer& operator=(const AdminServer&) = delete;
+
+    /// \returns Unavailable if the address cannot be bound
+    [[nodiscard]] Result<void> start();
+    void stop();
+
+    /// \brief Brings the answer to a question about an account's traffic.
+    void deliver(ProofCollected result);
+
+private:
+    struct Request {
+        std::string method;
+        std::string path;
+        std::string body;
+        std::string ifMatch;
+        std::string changeId;
+    };
+    struct Answer {
+        int status = 200;
+        std::string body;
+        std::string contentType = "application/json";
+    };
+    /// Changes a document; returns an error that names the field if it cannot.
+    using Edit = std::function<Result<void>(Document&)>;
+
+    static int handle(mg_connection* connection, void* server);
+
+    void serve(mg_connection* connection);
+    [[nodiscard]] bool isAuthorized(const mg_request_info& info) const;
+    [[nodiscard]] Answer answer(const Request& request);
+    [[nodiscard]] Answer answerRead(const Request& request);
+    [[nodiscard]] Answer answerChange(const Request& request);
+
+    [[nodiscard]] Answer readConfiguration();
+    [[nodiscard]] Answer replaceConfiguration(const Request& request);
+    [[nodiscard]] Answer validateDocument(const Request& request) const;
+    [[nodiscard]] Answer diffDocument(const Request& request);
+    [[nodiscard]] Answer withdrawAccount(const std::string& name, const std::string& changeId);
+    [[nodiscard]] Answer withdrawKey(const std::string& account, const std::string& key, const std::string& changeId);
+    [[nodiscard]] Answer changeDrain(const Request& request);
+    [[nodiscard]] Answer changeShift(const Request& request);
+    [[nodiscard]] Answer edit(const std::string& changeId, const Edit& change);
+    [[nodiscard]] Answer status();
+    [[nodiscard]] Answer prove(const std::string& account);
+    [[nodiscard]] std::optional<ProofCollected> askEntries(const std::string& account);
+
+    AdminServerSettings m_settings;
+    CoreRunner& m_core;
+    const Metrics& m_metrics;
+    ConfigurationWriter m_writer;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::uint64_t m_lastQuery = 0;
+    std::map<std::uint64_t, ProofCollected> m_results;
+    mg_context* m_context = nullptr;
+};
+
+} // namespace arbutuscrank
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -63,7 +63,11 @@
             [&targets = daemon.m_targets, effect = std::move(effect)] { targets.keep(effect); }, maxBackgroundTasks);
     }
     void operator()(PublishLookup& effect) const { daemon.m_callers->publish(std::move(effect.table)); }
-    void operator()(const ProofCollected& /*effect*/) const { }
+    void operator()(ProofCollected& effect) const
+    {
+        daemon.m_background.post(
+            [&server = *daemon.m_admin, effect = std::move(effect)]() mutable { server.deliver(std::move(effect)); });
+    }
     void operator()(const WriteLog& effect) const { daemon.m_log.write(effect.event, effect.detail); }
     void operator()(const StopCompleted& /*effect*/) const
     {
@@ -116,6 +120,8 @@
     m_callers = std::make_unique<CallerServer>(
         CallerServerSettings { m_settings.listen, m_settings.callerThreads, m_settings.maxBodyBytes }, services,
         m_sessions, m_metrics);
+    m_admin = std::make_unique<AdminServer>(AdminServerSettings { m_settings.adminListen, m_settings.adminKeyDigest },
+        m_core, *m_platform, m_metrics);
 }
 
 Daemon::~Daemon() { shutdown(); }
@@ -124,6 +130,7 @@
 {
     BOOST_OUTCOME_TRYV(m_peers->start());
     BOOST_OUTCOME_TRYV(m_callers->start());
+    BOOST_OUTCOME_TRYV(m_admin->start());
     m_timers.subscribe(tickPeriod, [this] { m_core.submit(Tick {}); });
     m_timers.subscribe(monitorPeriod, [this] { m_sessions.monitor(); });
     m_timers.start();
@@ -149,6 +156,7 @@
 void Daemon::shutdown()
 {
     m_callers->stop();
+    m_admin->stop();
     m_timers.stop();
     m_peers->stop();
     m_peerService->stop();
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/admin_server.hpp"
 #include "daemon/caller_server.hpp"
 #include "daemon/core_runner.hpp"
 #include "daemon/log.hpp"
@@ -64,6 +65,7 @@
     std::unique_ptr<PeerService> m_peerService;
     std::unique_ptr<PeerTransport> m_peers;
     std::unique_ptr<CallerServer> m_callers;
+    std::unique_ptr<AdminServer> m_admin;
 
     std::mutex m_stopMutex;
     std::condition_variable m_stopWake;
--- /dev/null
+++ b/tests/system/cluster.cpp
@@ -0,0 +1,282 @@
+#include "system/cluster.hpp"
+
+#include <arbutuscrank/config/codec.hpp>
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <set>
+#include <stdexcept>
+#include <thread>
+
+namespace arbutuscrank::tests {
+
+namespace {
+
+    constexpr std::chrono::seconds callTimeout { 20 };
+
+    /// Addresses with ports that the kernel says are free. They are drawn together, so that all differ.
+    std::vector<std::string> freeAddresses(std::size_t count)
+    {
+        std::vector<int> sockets;
+        std::vector<std::string> addresses;
+        for (std::size_t n = 0; n < count; ++n) {
+            sockaddr_in name {};
+            name.sin_family = AF_INET;
+            name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            socklen_t size = sizeof name;
+            const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            sockets.push_back(fd);
+            if (bind(fd, reinterpret_cast<sockaddr*>(&name), size) != 0
+                || getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size) != 0)
+                throw std::runtime_error("no free port");
+            addresses.push_back("127.0.0.1:" + std::to_string(ntohs(name.sin_port)));
+        }
+        for (const int fd : sockets)
+            close(fd);
+        return addresses;
+    }
+
+    std::string program(const std::string& name)
+    {
+        return std::string(ARBUTUSCRANK_BUILD_DIR) + "/" + name;
+    }
+
+} // namespace
+
+// --- Process ---------------------------------------------------------------------------------------------------------
+
+Process::Process(const std::vector<std::string>& arguments, const std::string& outputFile)
+{
+    std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
+    for (const auto& it : arguments)
+        argv.push_back(const_cast<char*>(it.c_str()));
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(
+        &actions, STDOUT_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int ec = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (ec != 0)
+        throw std::runtime_error("cannot start " + arguments.front());
+}
+
+Process::~Process()
+{
+    if (m_pid <= 0)
+        return;
+    signal(SIGKILL);
+    wait();
+}
+
+void Process::signal(int number) const
+{
+    kill(m_pid, number);
+}
+
+int Process::wait()
+{
+    int status = 0;
+    waitpid(std::exchange(m_pid, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+bool eventually(const std::function<bool()>& condition, std::chrono::seconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+// --- Cluster ---------------------------------------------------------------------------------------------------------
+
+Cluster::Cluster(const ClusterShape& shape)
+    : m_shape(shape)
+{
+    std::string pattern = std::filesystem::temp_directory_path() / "arbutuscrank-test-XXXXXX";
+    if (mkdtemp(pattern.data()) == nullptr)
+        throw std::runtime_error("cannot make a directory");
+    m_directory = pattern;
+    const auto daemonCount = shape.regions.size() * static_cast<std::size_t>(shape.vmsPerRegion);
+    const auto targetCount = shape.regions.size() * static_cast<std::size_t>(shape.targetsPerRegion);
+    auto addresses = freeAddresses(1 + 3 * daemonCount + targetCount);
+    const auto take = [&addresses](std::size_t count) {
+        std::vector<std::string> taken(addresses.end() - static_cast<std::ptrdiff_t>(count), addresses.end());
+        addresses.resize(addresses.size() - count);
+        return taken;
+    };
+    m_platformAddress = take(1).front();
+    m_callerAddresses = take(daemonCount);
+    m_adminAddresses = take(daemonCount);
+    m_peerAddresses = take(daemonCount);
+    m_targetAddresses = take(targetCount);
+    m_daemons.resize(daemonCount);
+    m_targets.resize(targetCount);
+
+    auto regions = nlohmann::json::array();
+    auto targets = nlohmann::json::array();
+    for (const auto& it : shape.regions)
+        regions.push_back({ { "name", it }, { "failureDomains", { it + "-a", it + "-b" } } });
+    for (std::size_t n = 0; n < targetCount; ++n) {
+        const auto region = regionOf(n, shape.targetsPerRegion);
+        targets.push_back({ { "name", "kitty-" + std::to_string(n) }, { "address", m_targetAddresses[n] },
+            { "region", region }, { "failureDomain", region + (n % 2 == 0 ? "-a" : "-b") } });
+    }
+    document = { { "schema", 1 }, { "regions", regions },
+        { "services",
+            { { { "name", "kitty" }, { "pathPrefix", "/kitty/" }, { "openPathPrefixes", { "/kitty/public/" } },
+                { "slotsPerTarget", 6 }, { "connectionsPerTarget", 100 },
+                { "defaultTimeoutMs", shape.defaultTimeoutMs }, { "targets", targets } } } },
+        { "accounts",
+            { { { "name", "acme" }, { "keys", { { { "id", "k1" }, { "digest", sha256Hex(callerKey) } } } },
+                { "ratePerSecond", shape.ratePerSecond }, { "burst", shape.burst }, { "services", { "kitty" } },
+                { "regions", shape.regions } } } } };
+}
+
+Cluster::~Cluster()
+{
+    m_daemons.clear();
+    m_targets.clear();
+    m_platform.reset();
+    std::error_code ec;
+    std::filesystem::remove_all(m_directory, ec);
+}
+
+std::string Cluster::regionOf(std::size_t n, int perRegion) const
+{
+    return m_shape.regions.at(n / static_cast<std::size_t>(perRegion));
+}
+
+void Cluster::publishVms() const
+{
+    auto vms = nlohmann::json::array();
+    for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        const auto region = regionOf(n, m_shape.vmsPerRegion);
+        vms.push_back({ { "vm", "vm-" + std::to_string(n) }, { "region", region },
+            { "failureDomain", region + (n % 2 == 0 ? "-a" : "-b") }, { "callerAddress", m_callerAddresses[n] },
+            { "peerAddress", m_peerAddresses[n] }, { "state", "live" } });
+    }
+    HttpClient client(m_platformAddress);
+    (void)client.request("PUT", "/vms", {}, vms.dump(), callTimeout);
+}
+
+void Cluster::startDaemon(std::size_t n)
+{
+    const auto region = regionOf(n, m_shape.vmsPerRegion);
+    m_daemons.at(n).reset();
+    m_daemons.at(n) = std::make_unique<Process>(
+        std::vector<std::string> { program("arbutuscrankd"), "--vm=vm-" + std::to_string(n), "--region=" + region,
+            "--failure-domain=" + region + (n % 2 == 0 ? "-a" : "-b"), "--listen=" + m_callerAddresses[n],
+            "--admin-listen=" + m_adminAddresses[n], "--peer-listen=" + m_peerAddresses[n],
+            "--platform=" + m_platformAddress, "--admin-key-digest=" + sha256Hex(operatorKey), "--caller-threads=32",
+            "--forward-threads=16" },
+        m_directory + "/vm-" + std::to_string(n) + ".log");
+}
+
+bool Cluster::start()
+{
+    m_platform = std::make_unique<Process>(
+        std::vector<std::string> { program("fake_platform"), "--listen=" + m_platformAddress },
+        m_directory + "/platform.log");
+    for (std::size_t n = 0; n < m_targets.size(); ++n) {
+        m_targets[n] = std::make_unique<Process>(
+            std::vector<std::string> { program("fake_target"), "--listen=" + m_targetAddresses[n],
+                "--name=kitty-" + std::to_string(n) },
+            m_directory + "/target-" + std::to_string(n) + ".log");
+    }
+    const auto platformUp = [this] {
+        return HttpClient(m_platformAddress).request("GET", "/stats", {}, {}, callTimeout).has_value();
+    };
+    if (!eventually(platformUp))
+        return false;
+    publishVms();
+    for (std::size_t n = 0; n < m_daemons.size(); ++n)
+        startDaemon(n);
+    if (!eventually([this] { return !dump(0).is_null(); }))
+        return false;
+    const auto applied = operate(0, "PUT", "/v1/config", { "If-Match: 0" }, document.dump());
+    if (!applied || applied.value().status != 200) {
+        std::cerr << "apply: " << (applied ? applied.value().body : describe(applied.error())) << '\n';
+        return false;
+    }
+    return eventually([this] {
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            const auto answer = request(n, "GET", "/kitty/ready");
+            if (!answer || answer.value().status != 200)
+                return false;
+        }
+        return true;
+    });
+}
+
+Result<HttpAnswer> Cluster::request(std::size_t n, std::string_view method, const std::string& path,
+    std::vector<std::string> headers, std::string_view body, bool withKey) const
+{
+    if (withKey)
+        headers.push_back(std::string("Authorization: Bearer ") + callerKey);
+    HttpClient client(m_callerAddresses.at(n));
+    return client.request(method, path, headers, body, callTimeout);
+}
+
+Result<HttpAnswer> Cluster::operate(std::size_t n, std::string_view method, const std::string& path,
+    std::vector<std::string> headers, std::string_view body) const
+{
+    headers.push_back(std::string("Authorization: Bearer ") + operatorKey);
+    HttpClient client(m_adminAddresses.at(n));
+    return client.request(method, path, headers, body, callTimeout);
+}
+
+void Cluster::control(std::size_t n, const nlohmann::json& behaviour) const
+{
+    HttpClient client(m_targetAddresses.at(n));
+    (void)client.request("PUT", "/control", {}, behaviour.dump(), callTimeout);
+}
+
+void Cluster::faults(const nlohmann::json& faults) const
+{
+    HttpClient client(m_platformAddress);
+    (void)client.request("PUT", "/faults", {}, faults.dump(), callTimeout);
+}
+
+nlohmann::json Cluster::executed(std::size_t n) const
+{
+    HttpClient client(m_targetAddresses.at(n));
+    const auto answer = client.request("GET", "/executed", {}, {}, callTimeout);
+    return answer ? nlohmann::json::parse(answer.value().body, nullptr, false) : nlohmann::json();
+}
+
+std::size_t Cluster::executions(const std::string& tag) const
+{
+    std::size_t count = 0;
+    for (std::size_t n = 0; n < m_targets.size(); ++n) {
+        const auto report = executed(n);
+        if (!report.is_object())
+            continue;
+        for (const auto& it : report.at("executed"))
+            count += it.at("tag") == tag ? 1 : 0;
+    }
+    return count;
+}
+
+nlohmann::json Cluster::dump(std::size_t n) const
+{
+    const auto answer = operate(n, "GET", "/v1/dump");
+    return answer && answer.value().status == 200 ? nlohmann::json::parse(answer.value().body, nullptr, false)
+                                                   : nlohmann::json();
+}
+
+} // namespace arbutuscrank::tests
