--- a/include/arbutuscrank/config/codec.hpp
+++ b/include/arbutuscrank/config/codec.hpp
@@ -19,6 +19,12 @@
 /// \brief Indented JSON for people.
 [[nodiscard]] std::string toPrettyJson(const Document& document);
 
+/// \brief Puts accounts and services in the order of their names and client blocks in the order of their addresses.
+///
+/// Parts do not keep the order of these lists. parseDocument() and joinDocument() return documents in this order, so
+/// that joining the parts of a parsed document gives an equal document.
+void normalize(Document& document);
+
 /// Largest part, in bytes: what one object of the store holds.
 inline constexpr std::size_t maxPartBytes = 1'000'000;
 
