Add the routing topic: ownership, slots, fair queue, choice of owner, health

Cause: src/core/routing.cpp was a thin stand-in without owners, queue or limits. Change: the topic is split into sources for target ownership and hand-over, slot limits, fair queue, choice of owner, health and probes, and the retry budget. AttemptEnded carries whether this side cut the attempt off, so that a caller who gives up does not make a target look unhealthy.

--- a/include/arbutuscrank/core/events.hpp
+++ b/include/arbutuscrank/core/events.hpp
@@ -129,6 +129,7 @@
     std::optional<double> reportedLoad; ///< load that the target reported, 0 to 1
     Duration retryAfter {}; ///< as given by the target or owner; 0 if none
     std::string detail;
+    bool cancelled = false; ///< ended by this process, not by the other side: says nothing about its health
 };
 
 /// \brief The first byte of an answer came from the target or from the owner.
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -395,14 +395,17 @@
     const auto took = context.now - request.attemptStartedAt;
     proof::requestEnded(state, request.account, event.answerStarted, context.now);
     request.mayHaveRun = request.mayHaveRun || event.outcome == AttemptOutcome::Unknown;
+    // A target or owner is not blamed for an attempt that was cut off on this side.
+    AttemptEnded learned = event;
+    learned.cancelled = event.cancelled || request.cancelled || request.withdrawn;
     // The slot is freed last, because that may start another request.
-    const auto freeSlot
-        = [&state, &event, &context, took, target = request.target, owner = request.owner, service = request.service] {
-              if (!target.empty())
-                  routing::attemptEnded(state, target, event, took, context);
-              else
-                  routing::forwardEnded(state, owner, service, event, context);
-          };
+    const auto freeSlot = [&state, &learned, &context, took, target = request.target, owner = request.owner,
+                              service = request.service] {
+        if (!target.empty())
+            routing::attemptEnded(state, target, learned, took, context);
+        else
+            routing::forwardEnded(state, owner, service, learned, context);
+    };
 
     if (event.outcome == AttemptOutcome::Complete) {
         finish(state, event.id, RecordState::Complete, context);
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -1,66 +1,229 @@
+#include "core/routing_internal.hpp"
+
 #include <arbutuscrank/core/state.hpp>
 
+#include <algorithm>
+
 namespace arbutuscrank::routing {
 
-Decision route(State& state, const Query& query, Context& /*context*/)
+namespace {
+
+    // --- Document ----------------------------------------------------------------------------------------------------
+
+    /// Takes over what the document says of a target and keeps what was learned of it.
+    void applyEntry(RoutingTarget& target, const Service& service, const TargetEntry& entry, bool drained, bool fresh,
+        const RoutingState& own, Context& context)
+    {
+        if (!fresh && target.address != entry.address) {
+            if (target.keptIdle != 0)
+                context.effect(KeepConnections { target.name, target.address, 0, 0 });
+            target.keptIdle = 0;
+        }
+        const bool returns = !fresh && (target.drained || !target.listed) && !drained;
+        target.name = entry.name;
+        target.service = service.name;
+        target.address = entry.address;
+        target.failureDomain = entry.failureDomain;
+        target.slots = service.slotsPerTarget;
+        target.connections = service.connectionsPerTarget;
+        target.probeInterval = std::chrono::milliseconds(service.probeIntervalMs);
+        target.listed = true;
+        target.limit.resize(service.slotsPerTarget);
+        if (fresh)
+            target.limit.startWarm(service.slotsPerTarget);
+        // Targets of the first document were in service before this process started.
+        if ((fresh && own.configured) || returns) {
+            target.inServiceSince = context.now;
+            target.health.readmit();
+            target.limit.startCold(context.now);
+        }
+        target.drained = drained;
+    }
+
+    void startDrain(RoutingTarget& target, Context& context)
+    {
+        target.drainingSince = context.now;
+        context.log(
+            LogEvent::TargetDraining, "target=" + target.name + " in-flight=" + std::to_string(target.inFlight));
+    }
+
+    void applyService(State& state, const Service& entry)
+    {
+        auto& service = state.routing.services[entry.name];
+        service.slotsPerTarget = std::max<std::uint32_t>(entry.slotsPerTarget, 1);
+        service.queueLimits = { entry.queuePerAccount, entry.queueTotal };
+        service.retries.setPercent(entry.retryBudgetPercent);
+    }
+
+    void removeService(RoutingService& service, Context& context)
+    {
+        for (const auto id : service.queue.takeAll())
+            context.followUp(QueueRefused { id, "no-target", {} });
+    }
+
+    // --- Attempts ----------------------------------------------------------------------------------------------------
+
+    void learn(State& state, RoutingTarget& target, const AttemptEnded& event, Duration took, Context& context)
+    {
+        if (event.reportedLoad)
+            target.health.loadReported(*event.reportedLoad, context.now);
+        // A grant that was never used and an attempt that was cut off here say nothing about the target.
+        if (event.attempt == 0 || event.cancelled)
+            return;
+        if (event.outcome == AttemptOutcome::Complete) {
+            target.health.requestSucceeded(context.now);
+            target.limit.succeeded(context.now);
+            constexpr int weight = 16;
+            auto& service = state.routing.services.find(target.service)->second;
+            service.meanTime += (took - service.meanTime) / weight;
+            return;
+        }
+        target.limit.failed(context.now, context.now - took);
+        if (event.shed)
+            target.health.requestShed();
+        else
+            target.health.requestFailed(event.outcome == AttemptOutcome::NotRun && event.status == 0);
+        applyHealth(state, target, context);
+    }
+
+} // namespace
+
+bool isDrained(const ActiveDocument& active, const TargetEntry& target)
 {
-    RoutingState::Target* best = nullptr;
-    std::string_view name;
-    for (auto& [it, target] : state.routing.targets) {
-        if (target.service == query.service && target.inFlight < target.slots
-            && (best == nullptr || target.inFlight < best->inFlight)) {
-            best = &target;
-            name = it;
+    return target.draining || active.isDrained(DrainKind::Target, target.name)
+        || active.isDrained(DrainKind::FailureDomain, target.failureDomain)
+        || active.isDrained(DrainKind::Region, target.region);
+}
+
+// --- Requests --------------------------------------------------------------------------------------------------------
+
+Decision route(State& state, const Query& query, Context& context)
+{
+    notePause(state, context);
+    auto& own = state.routing;
+    const auto service = own.services.find(query.service);
+    if (service == own.services.end())
+        return NoRoute { "no-target", {} };
+    // While requests wait in the queue, free slots are theirs.
+    if (query.region == state.self.region && service->second.queue.empty()) {
+        auto* target = bestTarget(own, service->second, context.now);
+        if (target != nullptr) {
+            ++target->inFlight;
+            return RunHere { target->name, target->address };
         }
     }
-    if (best == nullptr)
-        return NoRoute { "overloaded", std::chrono::seconds(1) };
-    ++best->inFlight;
-    return RunHere { std::string(name), best->address };
+    return chooseOwner(state, service->second, query, context);
 }
 
-void cancelQueued(State& /*state*/, RequestId /*id*/, Context& /*context*/) { }
+void cancelQueued(State& state, RequestId id, Context& /*context*/)
+{
+    for (auto& [name, service] : state.routing.services) {
+        if (service.queue.remove(id))
+            return;
+    }
+}
 
-void attemptEnded(
-    State& state, std::string_view target, const AttemptEnded& /*event*/, Duration /*took*/, Context& /*context*/)
+void attemptEnded(State& state, std::string_view target, const AttemptEnded& event, Duration took, Context& context)
 {
-    const auto it = state.routing.targets.find(target);
-    if (it != state.routing.targets.end())
-        --it->second.inFlight;
+    notePause(state, context);
+    auto& own = state.routing;
+    const auto it = own.targetIndex.find(target);
+    if (it == own.targetIndex.end())
+        return;
+    auto& entry = own.targets[it->second];
+    entry.inFlight -= std::min<std::uint32_t>(entry.inFlight, 1);
+    noteDrain(entry, context);
+    const auto service = own.services.find(entry.service);
+    if (service == own.services.end())
+        return;
+    learn(state, entry, event, took, context);
+    dispatch(state, service->second, context);
 }
 
-void forwardEnded(State& /*state*/, std::string_view /*owner*/, std::string_view /*service*/,
-    const AttemptEnded& /*event*/, Context& /*context*/)
+std::vector<ServiceLoad> ownLoads(const State& state)
 {
+    std::vector<ServiceLoad> loads;
+    for (const auto& [name, service] : state.routing.services) {
+        if (service.owned.empty())
+            continue;
+        const auto capacity = ownCapacity(state.routing, service);
+        loads.push_back({ name, capacity.slots, capacity.inFlight, static_cast<std::uint32_t>(service.queue.size()) });
+    }
+    return loads;
 }
 
-std::vector<ServiceLoad> ownLoads(const State& /*state*/) { return {}; }
+bool takeRetry(State& state, std::string_view service)
+{
+    const auto it = state.routing.services.find(service);
+    return it != state.routing.services.end() && it->second.retries.take();
+}
 
-bool takeRetry(State& /*state*/, std::string_view /*service*/) { return true; }
+void countFirstTry(State& state, std::string_view service)
+{
+    const auto it = state.routing.services.find(service);
+    if (it != state.routing.services.end())
+        it->second.retries.countFirstTry();
+}
 
-void countFirstTry(State& /*state*/, std::string_view /*service*/) { }
-void startLeaving(State& /*state*/, Context& /*context*/) { }
-void onTick(State& /*state*/, Context& /*context*/) { }
+// --- Time and configuration ------------------------------------------------------------------------------------------
 
-void onConfigurationApplied(State& state, const ConfigurationApplied& /*event*/, Context& /*context*/)
+void onTick(State& state, Context& context)
 {
-    std::map<std::string, RoutingState::Target, std::less<>> targets;
-    for (const auto& service : configuration::active(state)->document().services) {
-        for (const auto& target : service.targets) {
-            if (target.region != state.self.region || target.draining)
+    notePause(state, context);
+    tickOwnership(state, context);
+    tickHealth(state, context);
+    // Targets that the document no longer has are forgotten with their last request.
+    auto& own = state.routing;
+    const auto finished = std::erase_if(
+        own.targets, [](const RoutingTarget& target) { return !target.listed && target.inFlight == 0; });
+    if (finished == 0)
+        return;
+    own.targetIndex.clear();
+    for (std::size_t n = 0; n < own.targets.size(); ++n)
+        own.targetIndex[own.targets[n].name] = static_cast<std::uint32_t>(n);
+    rebuildOwners(state);
+}
+
+void onConfigurationApplied(State& state, const ConfigurationApplied& /*event*/, Context& context)
+{
+    auto& own = state.routing;
+    const auto& active = *configuration::active(state);
+    for (auto& target : own.targets)
+        target.listed = false;
+    for (const auto& service : active.document().services) {
+        applyService(state, service);
+        for (const auto& entry : service.targets) {
+            if (entry.region != state.self.region)
                 continue;
-            const auto it = state.routing.targets.find(target.name);
-            const auto inFlight = it == state.routing.targets.end() ? 0 : it->second.inFlight;
-            targets[target.name] = { service.name, target.address, service.slotsPerTarget, inFlight };
+            const auto [it, fresh]
+                = own.targetIndex.try_emplace(entry.name, static_cast<std::uint32_t>(own.targets.size()));
+            if (fresh)
+                own.targets.emplace_back();
+            applyEntry(own.targets[it->second], service, entry, isDrained(active, entry), fresh, own, context);
+        }
+    }
+    for (auto it = own.services.begin(); it != own.services.end();) {
+        if (active.findService(it->first) != nullptr) {
+            ++it;
+            continue;
+        }
+        removeService(it->second, context);
+        it = own.services.erase(it);
+    }
+    own.configured = true;
+    for (auto& target : own.targets)
+        target.drained = target.drained || !target.listed;
+    syncOwnership(state, context);
+    for (auto& target : own.targets) {
+        if (!target.drained) {
+            target.drainingSince.reset();
+            target.drainLogged = false;
+        } else if (!target.drainLogged && (target.owned || target.inFlight > 0)) {
+            target.drainLogged = true;
+            startDrain(target, context);
+            noteDrain(target, context);
         }
     }
-    state.routing.targets = std::move(targets);
 }
 
-void onMemberChanged(State& /*state*/, const MemberChanged& /*event*/, Context& /*context*/) { }
-void onHeartbeat(State& /*state*/, const Heartbeat& /*message*/, Context& /*context*/) { }
-void onOwnerQuery(State& /*state*/, const ProcessId& /*from*/, const OwnerQuery& /*message*/, Context& /*context*/) { }
-void onOwnerReply(State& /*state*/, const ProcessId& /*from*/, const OwnerReply& /*message*/, Context& /*context*/) { }
-void onProbeEnded(State& /*state*/, const ProbeEnded& /*event*/, Context& /*context*/) { }
-
 } // namespace arbutuscrank::routing
--- /dev/null
+++ b/src/core/routing_owners.cpp
@@ -0,0 +1,281 @@
+#include "core/routing_internal.hpp"
+
+#include <arbutuscrank/core/state.hpp>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace arbutuscrank::routing {
+
+namespace {
+
+    constexpr double noWait = 0;
+    constexpr double endlessWait = std::numeric_limits<double>::infinity();
+
+    /// A candidate with its expected load.
+    struct Candidate {
+        const OwnerChoice* choice = nullptr;
+        double freeSlots = 0;
+        double wait = endlessWait; ///< expected wait, in mean request times
+    };
+
+    double expectedWait(double slots, double busy)
+    {
+        if (slots <= 0)
+            return endlessWait;
+        return std::max(noWait, (busy + 1 - slots) / slots);
+    }
+
+    Candidate estimate(
+        const RoutingState& own, const RoutingService& service, const OwnerChoice& choice, std::string_view name)
+    {
+        double slots = static_cast<double>(choice.targets) * service.slotsPerTarget;
+        double busy = 0;
+        const auto record = own.ownerRecords.find(choice.vm);
+        if (record != own.ownerRecords.end()) {
+            const auto load = record->second.loads.find(name);
+            if (load != record->second.loads.end()) {
+                if (load->second.reported)
+                    slots = load->second.slots;
+                busy = load->second.busy + load->second.forwards;
+            }
+        }
+        return { &choice, slots - busy, expectedWait(slots, busy) };
+    }
+
+    /// Time until which an owner is avoided for this account.
+    TimePoint avoidedUntil(const RoutingState& own, const OwnerChoice& choice, const Query& query)
+    {
+        const auto record = own.ownerRecords.find(choice.vm);
+        if (record == own.ownerRecords.end())
+            return TimePoint::min();
+        auto until = record->second.unreachableUntil;
+        const auto load = record->second.loads.find(query.service);
+        if (load != record->second.loads.end()) {
+            const auto refused = load->second.refusedUntil.find(query.account);
+            if (refused != load->second.refusedUntil.end())
+                until = std::max(until, refused->second);
+        }
+        return until;
+    }
+
+    bool isExcluded(const OwnerChoice& choice, const Query& query)
+    {
+        return query.excludedOwners != nullptr && query.excludedOwners->contains(choice.vm);
+    }
+
+    /// The better of two random owners. More random owners than two would send all entries to the same one while
+    /// the reports of its load are out of date.
+    struct Pick {
+        Candidate best;
+        std::optional<TimePoint> avoidedUntil; ///< earliest, if all owners are avoided
+    };
+
+    Pick pickOwner(State& state, const RoutingService& service, const std::vector<OwnerChoice>& choices,
+        const Query& query, TimePoint now)
+    {
+        Pick pick;
+        const auto consider = [&](const OwnerChoice& choice) {
+            const auto candidate = estimate(state.routing, service, choice, query.service);
+            if (pick.best.choice == nullptr || candidate.wait < pick.best.wait
+                || (candidate.wait == pick.best.wait && candidate.freeSlots > pick.best.freeSlots))
+                pick.best = candidate;
+        };
+        // Random draws first; the scan of all owners below is only needed when many of them are left out.
+        constexpr int maxDraws = 6;
+        constexpr int wanted = 2;
+        int found = 0;
+        const OwnerChoice* first = nullptr;
+        for (int n = 0; n < maxDraws && found < wanted && !choices.empty(); ++n) {
+            const auto& choice = choices[state.random.below(choices.size())];
+            if (&choice == first || isExcluded(choice, query) || avoidedUntil(state.routing, choice, query) > now)
+                continue;
+            first = &choice;
+            ++found;
+            consider(choice);
+        }
+        if (found > 0)
+            return pick;
+        for (const auto& choice : choices) {
+            if (isExcluded(choice, query))
+                continue;
+            const auto until = avoidedUntil(state.routing, choice, query);
+            if (until <= now)
+                consider(choice);
+            else
+                pick.avoidedUntil = std::min(until, pick.avoidedUntil.value_or(until));
+        }
+        return pick;
+    }
+
+    Decision forward(State& state, const Query& query, const OwnerChoice& choice)
+    {
+        auto& record = state.routing.ownerRecords[choice.vm];
+        auto load = record.loads.find(query.service);
+        if (load == record.loads.end())
+            load = record.loads.emplace(std::string(query.service), OwnerLoad {}).first;
+        ++load->second.forwards;
+        state.routing.forwards[query.id] = { choice.vm, std::string(query.account), record.heartbeats };
+        return ForwardTo { choice.vm, choice.address };
+    }
+
+    Decision overloaded(const Pick& pick, Duration fallback, TimePoint now)
+    {
+        return NoRoute { "overloaded", pick.avoidedUntil ? std::max(*pick.avoidedUntil - now, refusedTime) : fallback };
+    }
+
+    void addOwner(std::vector<OwnerChoice>& choices, const VmId& vm, const std::string& address)
+    {
+        const auto at = std::lower_bound(choices.begin(), choices.end(), vm,
+            [](const OwnerChoice& choice, const VmId& name) { return choice.vm < name; });
+        if (at != choices.end() && at->vm == vm)
+            ++at->targets;
+        else
+            choices.insert(at, OwnerChoice { vm, address, 1 });
+    }
+
+    /// Owners in another region, by the members known there. Few of them are heard from here, so that members which are
+    /// neither gone nor leaving count as owners; a wrong guess ends as not run and another owner is tried.
+    const std::vector<OwnerChoice>& ownersElsewhere(State& state, RoutingService& service, const Query& query)
+    {
+        const auto cached = service.owners.find(query.region);
+        if (cached != service.owners.end())
+            return cached->second;
+        std::vector<OwnerChoice> choices;
+        std::vector<VmId> vms;
+        for (const auto& [vm, record] : state.membership.members) {
+            if (record.member.region == query.region && !record.gone && !record.member.leaving)
+                vms.push_back(vm);
+        }
+        const auto* active = configuration::active(state);
+        const auto* entry = active == nullptr ? nullptr : active->findService(query.service);
+        if (entry != nullptr && !vms.empty()) {
+            for (const auto& target : entry->targets) {
+                if (target.region != query.region || isDrained(*active, target))
+                    continue;
+                const auto owner = membership::rendezvousOrder(target.name, vms).front();
+                addOwner(choices, owner, membership::find(state, owner)->member.peerAddress);
+            }
+        }
+        return service.owners.emplace(std::string(query.region), std::move(choices)).first->second;
+    }
+
+} // namespace
+
+void rebuildOwners(State& state)
+{
+    auto& own = state.routing;
+    for (auto& [name, service] : own.services) {
+        service.owned.clear();
+        service.owners.clear();
+        service.owners[state.self.region];
+        service.regionTargets = 0;
+    }
+    for (std::size_t n = 0; n < own.targets.size(); ++n) {
+        const auto& target = own.targets[n];
+        const auto service = own.services.find(target.service);
+        if (service == own.services.end() || !target.listed)
+            continue;
+        if (!target.drained)
+            ++service->second.regionTargets;
+        if (target.owned)
+            service->second.owned.push_back(static_cast<std::uint32_t>(n));
+        else if (!target.drained && !target.owner.empty() && target.owner != state.self.process.vm) {
+            const auto* record = membership::find(state, target.owner);
+            if (record != nullptr)
+                addOwner(service->second.owners[state.self.region], target.owner, record->member.peerAddress);
+        }
+    }
+}
+
+Decision enqueue(State& state, RoutingService& service, const Query& query, Context& context)
+{
+    const auto expires = std::min(query.deadline, context.now + queueWait);
+    const auto result = service.queue.push(query.account, query.id, expires, service.queueLimits);
+    if (!result.queued)
+        return NoRoute { "overloaded", retryAfter(state.routing, service, query.account) };
+    if (result.displaced)
+        context.followUp(
+            QueueRefused { *result.displaced, "overloaded", retryAfter(state.routing, service, query.account) });
+    return Queued {};
+}
+
+Decision chooseOwner(State& state, RoutingService& service, const Query& query, Context& context)
+{
+    const bool local = query.region == state.self.region;
+    const bool queueHere = local && canQueue(state.routing, service);
+    if (query.ownTargetsOnly) {
+        if (queueHere)
+            return enqueue(state, service, query, context);
+        return NoRoute { "no-target", refusedTime };
+    }
+    const auto& choices = local ? service.owners.find(query.region)->second : ownersElsewhere(state, service, query);
+    const auto pick = pickOwner(state, service, choices, query, context.now);
+    if (pick.best.choice != nullptr && pick.best.wait <= noWait)
+        return forward(state, query, *pick.best.choice);
+    if (queueHere) {
+        const auto capacity = ownCapacity(state.routing, service);
+        const auto busy = static_cast<double>(capacity.inFlight + service.queue.size());
+        const bool ownFirst = pick.best.choice == nullptr || expectedWait(capacity.slots, busy) <= pick.best.wait;
+        if (ownFirst) {
+            auto decision = enqueue(state, service, query, context);
+            if (std::holds_alternative<Queued>(decision) || pick.best.choice == nullptr)
+                return decision;
+        }
+    }
+    if (pick.best.choice != nullptr)
+        return forward(state, query, *pick.best.choice);
+    if (pick.avoidedUntil)
+        return overloaded(pick, refusedTime, context.now);
+    return NoRoute { "no-target", refusedTime };
+}
+
+void forwardEnded(
+    State& state, std::string_view owner, std::string_view service, const AttemptEnded& event, Context& context)
+{
+    const auto forward = state.routing.forwards.find(event.id);
+    if (forward == state.routing.forwards.end())
+        return;
+    const auto sent = std::move(forward->second);
+    state.routing.forwards.erase(forward);
+    const auto record = state.routing.ownerRecords.find(owner);
+    if (record == state.routing.ownerRecords.end())
+        return;
+    const auto it = record->second.loads.find(service);
+    if (it == record->second.loads.end())
+        return;
+    auto& load = it->second;
+    // A forward that the last heartbeat already counted leaves the reported load, a newer one the own count.
+    auto& counted = sent.heartbeats == record->second.heartbeats ? load.forwards : load.busy;
+    counted -= std::min<std::uint32_t>(counted, 1);
+    if (event.cancelled || event.outcome != AttemptOutcome::NotRun)
+        return;
+    if (event.shed || event.status != 0)
+        load.refusedUntil[sent.account] = context.now + std::max(event.retryAfter, refusedTime);
+    else
+        record->second.unreachableUntil = context.now + unreachableTime;
+}
+
+void onHeartbeat(State& state, const Heartbeat& message, Context& context)
+{
+    if (message.sender.process.vm == state.self.process.vm)
+        return;
+    auto& record = state.routing.ownerRecords[message.sender.process.vm];
+    ++record.heartbeats;
+    for (auto& [name, load] : record.loads) {
+        load.reported = false;
+        load.slots = 0;
+        load.busy = 0;
+        load.forwards = 0;
+        std::erase_if(load.refusedUntil, [&context](const auto& it) { return it.second <= context.now; });
+    }
+    for (const auto& it : message.loads) {
+        auto& load = record.loads[it.service];
+        load.reported = true;
+        load.slots = it.slots;
+        load.busy = it.inFlight + it.queued;
+    }
+}
+
+} // namespace arbutuscrank::routing
--- /dev/null
+++ b/src/core/routing_ownership.cpp
@@ -0,0 +1,372 @@
+#include "core/routing_internal.hpp"
+
+#include <arbutuscrank/core/state.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace arbutuscrank::routing {
+
+namespace {
+
+    constexpr double halfHeard = 0.5;
+
+    // --- View of the region ------------------------------------------------------------------------------------------
+
+    /// Members of the own region that may exist, this one included, by name.
+    std::vector<VmId> knownVms(const State& state)
+    {
+        std::vector<VmId> vms { state.self.process.vm };
+        for (const auto& [vm, record] : state.membership.members) {
+            if (record.member.region == state.self.region && !record.gone)
+                vms.push_back(vm);
+        }
+        std::sort(vms.begin(), vms.end());
+        return vms;
+    }
+
+    void computeOrder(const RoutingState& own, RoutingTarget& target)
+    {
+        target.order.clear();
+        for (const auto& vm : membership::rendezvousOrder(target.name, own.regionVms)) {
+            const auto at = std::lower_bound(own.regionVms.begin(), own.regionVms.end(), vm);
+            target.order.push_back(static_cast<std::uint16_t>(at - own.regionVms.begin()));
+        }
+    }
+
+    /// The order changes only when a member is first seen or gone, not when it is suspected.
+    void refreshOrders(State& state)
+    {
+        auto& own = state.routing;
+        auto vms = knownVms(state);
+        const bool changed = vms != own.regionVms;
+        own.regionVms = std::move(vms);
+        for (auto& target : own.targets) {
+            if (changed || target.order.empty())
+                computeOrder(own, target);
+        }
+    }
+
+    /// For each of the region's VMs, whether it may own targets.
+    std::vector<bool> activeVms(const State& state)
+    {
+        const auto& own = state.routing;
+        std::vector<bool> active(own.regionVms.size(), false);
+        for (const auto& member : membership::activeMembers(state, state.self.region)) {
+            if (own.starting && member.process.vm == state.self.process.vm)
+                continue;
+            const auto at = std::lower_bound(own.regionVms.begin(), own.regionVms.end(), member.process.vm);
+            if (at != own.regionVms.end() && *at == member.process.vm)
+                active[static_cast<std::size_t>(at - own.regionVms.begin())] = true;
+        }
+        return active;
+    }
+
+    /// Whether a target stays with the member that asked for it. The question itself showed that the member runs, so
+    /// that suspicion does not end this; the time limit does.
+    bool yieldStands(const State& state, const RoutingTarget& target, TimePoint now)
+    {
+        const auto* record = membership::find(state, target.yieldedTo.vm);
+        if (record == nullptr || now >= target.yieldedUntil)
+            return false;
+        return !record->gone && !record->member.leaving
+            && record->member.process.incarnation <= target.yieldedTo.incarnation;
+    }
+
+    // --- Take-over ---------------------------------------------------------------------------------------------------
+
+    /// Finds the members that may still send work to a target that this entry takes over: those before it in the
+    /// order, which are silent or leaving, and on request the next one, which was the owner while this one was unknown.
+    void findFormerOwners(
+        State& state, RoutingTarget& target, const std::vector<bool>& active, bool includeNext, Context& context)
+    {
+        target.formerOwners.clear();
+        target.nextQuery = context.now;
+        bool above = true;
+        for (const auto index : target.order) {
+            const auto& vm = state.routing.regionVms[index];
+            if (vm == state.self.process.vm) {
+                above = false;
+                continue;
+            }
+            if (!above && !includeNext)
+                return;
+            const auto* record = membership::find(state, vm);
+            target.formerOwners.push_back({ record->member.process, above, context.now, std::nullopt });
+            if (!above && active[index])
+                return;
+        }
+    }
+
+    void acquire(
+        State& state, RoutingTarget& target, const std::vector<bool>& active, bool includeNext, Context& context)
+    {
+        target.owned = true;
+        target.keepsHalf = false;
+        target.yieldedTo = {};
+        target.probing = false;
+        target.nextProbe = context.now
+            + Duration(static_cast<std::int64_t>(state.random.below(
+                static_cast<std::uint64_t>(std::max<std::int64_t>(target.probeInterval.count(), 1)))));
+        // What was known of the target before it went to another owner is out of date.
+        target.health.readmit();
+        constexpr Duration warmedUp = 4 * SlotLimit::coldStartStep;
+        if (target.inServiceSince && context.now - *target.inServiceSince < warmedUp)
+            target.limit.startCold(context.now);
+        else
+            target.limit.startWarm(target.slots);
+        findFormerOwners(state, target, active, includeNext, context);
+        context.log(LogEvent::TargetOwned,
+            "target=" + target.name + " former-owners=" + std::to_string(target.formerOwners.size()));
+    }
+
+    void release(RoutingTarget& target, Context& context)
+    {
+        target.owned = false;
+        target.share = 0;
+        target.formerOwners.clear();
+        context.log(
+            LogEvent::TargetReleased, "target=" + target.name + " in-flight=" + std::to_string(target.inFlight));
+        keepConnections(target, context);
+    }
+
+    /// Whether nothing of a former owner's work can be left: positive evidence, a complete answer, or the hold is over.
+    bool isSettled(const State& state, FormerOwner& former, TimePoint now)
+    {
+        const auto* record = membership::find(state, former.process.vm);
+        if (record == nullptr || record->gone)
+            return true;
+        if (former.process.incarnation == 0)
+            former.process = record->member.process;
+        if (record->member.process.incarnation > former.process.incarnation)
+            return true;
+        return former.inFlight == 0U || now - former.since >= ownershipHold;
+    }
+
+    /// Whether this entry may take half of the slots of a silent owner. If all members that it does not hear can hear
+    /// each other and are then a majority, the owner may use all slots, and nothing is left.
+    bool mayTakeHalf(const State& state)
+    {
+        if (!state.routing.isolatedSince)
+            return true;
+        const auto others = static_cast<double>(state.routing.regionVms.size() - 1);
+        const double unheard = (1 - membership::heardShareOfRegion(state)) * others;
+        constexpr double rounding = 1e-6;
+        return unheard - 1 < others * halfHeard - rounding;
+    }
+
+    /// Slots of an own target that ownership allows, by the rules of section 9 of docs/design.md.
+    std::uint32_t allowedSlots(const State& state, const RoutingTarget& target, TimePoint now)
+    {
+        const auto floorHalf = target.slots / 2;
+        const auto& isolatedSince = state.routing.isolatedSince;
+        std::uint32_t allowed = target.slots;
+        std::uint32_t reserved = 0;
+        bool takesHalf = false;
+        for (const auto& former : target.formerOwners) {
+            if (former.inFlight) {
+                reserved += *former.inFlight;
+                continue;
+            }
+            const bool reachable
+                = membership::isTrusted(state, former.process.vm) && now - former.since < ownerQueryPatience;
+            if (reachable) {
+                allowed = std::min(allowed, target.keepsHalf ? floorHalf : 0);
+            } else if (!former.ranksAbove) {
+                allowed = std::min(allowed, floorHalf);
+            } else {
+                // The silent owner is the isolated one, or both sides are: it rounds down, this entry rounds up.
+                takesHalf = true;
+                allowed = std::min(allowed, mayTakeHalf(state) ? target.slots - floorHalf : 0);
+            }
+        }
+        if (isolatedSince && !takesHalf) {
+            // The page lets the other side use all slots after the hold. A target with one slot is not left idle then.
+            const bool holdOver = now - *isolatedSince >= ownershipHold;
+            allowed = std::min(allowed, holdOver ? std::max<std::uint32_t>(floorHalf, 1) : floorHalf);
+        }
+        return reserved >= target.slots ? 0 : std::min(allowed, target.slots - reserved);
+    }
+
+    void refreshShare(State& state, RoutingTarget& target, TimePoint now)
+    {
+        std::erase_if(target.formerOwners, [&](FormerOwner& former) { return isSettled(state, former, now); });
+        target.keepsHalf = target.keepsHalf && !target.formerOwners.empty();
+        target.share = target.owned ? allowedSlots(state, target, now) : 0;
+    }
+
+    void askFormerOwners(State& state, Context& context)
+    {
+        std::map<VmId, OwnerQuery> queries;
+        for (auto& target : state.routing.targets) {
+            if (!target.owned || target.formerOwners.empty() || context.now < target.nextQuery)
+                continue;
+            target.nextQuery = context.now + ownerQueryInterval;
+            for (const auto& former : target.formerOwners)
+                queries[former.process.vm].targets.push_back(target.name);
+        }
+        for (auto& [vm, query] : queries)
+            context.send(vm, std::move(query));
+    }
+
+    void refreshShares(State& state, Context& context)
+    {
+        for (auto& target : state.routing.targets) {
+            if (!target.owned)
+                continue;
+            refreshShare(state, target, context.now);
+            keepConnections(target, context);
+        }
+        askFormerOwners(state, context);
+        dispatchAll(state, context);
+    }
+
+    /// Takes the own targets over once more, because another member may have become their owner meanwhile.
+    void reacquire(State& state, bool keepsHalf, Context& context)
+    {
+        const auto active = activeVms(state);
+        for (auto& target : state.routing.targets) {
+            if (!target.owned)
+                continue;
+            findFormerOwners(state, target, active, true, context);
+            target.keepsHalf = keepsHalf;
+        }
+    }
+
+    void noteIsolation(State& state, Context& context)
+    {
+        auto& isolatedSince = state.routing.isolatedSince;
+        const bool isolated = membership::heardShareOfRegion(state) < halfHeard;
+        if (isolated && !isolatedSince) {
+            isolatedSince = context.now;
+        } else if (!isolated && isolatedSince) {
+            isolatedSince.reset();
+            reacquire(state, true, context);
+        }
+    }
+
+} // namespace
+
+void syncOwnership(State& state, Context& context)
+{
+    auto& own = state.routing;
+    refreshOrders(state);
+    noteIsolation(state, context);
+    const auto active = activeVms(state);
+    const auto& self = state.self.process.vm;
+    for (auto& target : own.targets) {
+        const auto first = std::find_if(
+            target.order.begin(), target.order.end(), [&active](std::uint16_t index) { return active[index]; });
+        target.owner = first == target.order.end() ? VmId() : own.regionVms[*first];
+        bool includeNext = own.startedAt && context.now - *own.startedAt < startWait + yieldTime;
+        if (!target.yieldedTo.vm.empty()) {
+            if (target.owner == self && yieldStands(state, target, context.now)) {
+                target.owner = target.yieldedTo.vm;
+            } else {
+                target.yieldedTo = {};
+                includeNext = true;
+            }
+        }
+        const bool wanted = target.listed && target.owner == self;
+        if (wanted && !target.owned)
+            acquire(state, target, active, includeNext, context);
+        else if (!wanted && target.owned)
+            release(target, context);
+    }
+    rebuildOwners(state);
+    refreshShares(state, context);
+}
+
+void notePause(State& state, Context& context)
+{
+    auto& own = state.routing;
+    const bool paused = own.lastEvent != TimePoint::min() && context.now - own.lastEvent > maxPause;
+    own.lastEvent = context.now;
+    if (!paused || own.targets.empty())
+        return;
+    reacquire(state, false, context);
+    refreshShares(state, context);
+}
+
+void tickOwnership(State& state, Context& context)
+{
+    auto& own = state.routing;
+    if (!own.startedAt) {
+        own.startedAt = context.now;
+        own.starting = own.targets.empty();
+    }
+    const bool heard = own.regionVms.size() > 1 && membership::heardShareOfRegion(state) >= halfHeard;
+    const bool started = own.starting && (heard || context.now - *own.startedAt >= startWait);
+    own.starting = own.starting && !started;
+    const bool yieldOver = std::any_of(own.targets.begin(), own.targets.end(), [&](const RoutingTarget& target) {
+        return !target.yieldedTo.vm.empty() && context.now >= target.yieldedUntil;
+    });
+    const bool isolated = membership::heardShareOfRegion(state) < halfHeard;
+    if (started || yieldOver || isolated != own.isolatedSince.has_value())
+        return syncOwnership(state, context);
+    refreshShares(state, context);
+}
+
+void onOwnerQuery(State& state, const ProcessId& from, const OwnerQuery& message, Context& context)
+{
+    notePause(state, context);
+    auto& own = state.routing;
+    const auto* record = membership::find(state, from.vm);
+    if (record != nullptr && record->member.process.incarnation > from.incarnation)
+        return;
+    OwnerReply reply;
+    bool yielded = false;
+    for (const auto& name : message.targets) {
+        const auto it = own.targetIndex.find(name);
+        if (it == own.targetIndex.end()) {
+            reply.inFlight[name] = 0;
+            continue;
+        }
+        auto& target = own.targets[it->second];
+        // Two owners that ask each other at once: the one later in the order gives way.
+        const bool crossed = target.owned
+            && std::any_of(target.formerOwners.begin(), target.formerOwners.end(),
+                [&from](const FormerOwner& former) { return former.process.vm == from.vm && !former.ranksAbove; });
+        if (crossed)
+            continue;
+        if (target.owned) {
+            target.yieldedTo = from;
+            target.yieldedUntil = context.now + yieldTime;
+            yielded = true;
+        }
+        reply.inFlight[name] = target.inFlight;
+    }
+    if (yielded)
+        syncOwnership(state, context);
+    context.send(from.vm, std::move(reply));
+}
+
+void onOwnerReply(State& state, const ProcessId& from, const OwnerReply& message, Context& context)
+{
+    notePause(state, context);
+    auto& own = state.routing;
+    for (const auto& [name, count] : message.inFlight) {
+        const auto it = own.targetIndex.find(name);
+        if (it == own.targetIndex.end() || !own.targets[it->second].owned)
+            continue;
+        for (auto& former : own.targets[it->second].formerOwners) {
+            if (former.process.vm != from.vm || from.incarnation < former.process.incarnation)
+                continue;
+            former.process = from;
+            former.inFlight = count;
+            former.since = context.now;
+        }
+    }
+    refreshShares(state, context);
+}
+
+void onMemberChanged(State& state, const MemberChanged& event, Context& context)
+{
+    if (event.change == MemberChange::Gone)
+        state.routing.ownerRecords.erase(event.process.vm);
+    syncOwnership(state, context);
+}
+
+void startLeaving(State& state, Context& context) { syncOwnership(state, context); }
+
+} // namespace arbutuscrank::routing
--- /dev/null
+++ b/src/core/routing_slots.cpp
@@ -0,0 +1,123 @@
+#include "core/routing_internal.hpp"
+
+#include <arbutuscrank/core/state.hpp>
+
+#include <algorithm>
+
+namespace arbutuscrank::routing {
+
+namespace {
+
+    constexpr Duration minRetryAfter = std::chrono::milliseconds(10);
+    constexpr Duration maxRetryAfter = std::chrono::seconds(5);
+
+    void refuseQueued(RequestId id, std::string reason, Duration after, Context& context)
+    {
+        context.followUp(QueueRefused { id, std::move(reason), after });
+    }
+
+} // namespace
+
+std::uint32_t usableSlots(const RoutingTarget& target) noexcept
+{
+    if (!target.owned || target.drained || target.health.isEjected())
+        return 0;
+    return std::min(target.share, target.limit.value());
+}
+
+RoutingTarget* bestTarget(RoutingState& own, const RoutingService& service, TimePoint now)
+{
+    RoutingTarget* best = nullptr;
+    double bestLoad = 0;
+    for (const auto index : service.owned) {
+        auto& target = own.targets[index];
+        const auto slots = usableSlots(target);
+        if (target.inFlight >= slots)
+            continue;
+        // A reported load can make a target look busier than the own count, never less busy.
+        const double counted = static_cast<double>(target.inFlight) / static_cast<double>(slots);
+        const double load = std::max(counted, target.health.reportedLoad(now));
+        if (best == nullptr || load < bestLoad) {
+            best = &target;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+bool canQueue(const RoutingState& own, const RoutingService& service)
+{
+    return std::any_of(service.owned.begin(), service.owned.end(), [&own](std::uint32_t index) {
+        const auto& target = own.targets[index];
+        return !target.drained && !target.health.isEjected();
+    });
+}
+
+OwnCapacity ownCapacity(const RoutingState& own, const RoutingService& service) noexcept
+{
+    OwnCapacity capacity;
+    for (const auto index : service.owned) {
+        capacity.slots += usableSlots(own.targets[index]);
+        capacity.inFlight += own.targets[index].inFlight;
+    }
+    return capacity;
+}
+
+void dispatch(State& state, RoutingService& service, Context& context)
+{
+    if (service.queue.empty())
+        return;
+    auto& own = state.routing;
+    for (const auto id : service.queue.takeExpired(context.now))
+        refuseQueued(id, "overloaded", retryAfter(own, service, {}), context);
+    if (!canQueue(own, service)) {
+        for (const auto id : service.queue.takeAll())
+            refuseQueued(id, "no-target", refusedTime, context);
+        return;
+    }
+    while (!service.queue.empty()) {
+        auto* target = bestTarget(own, service, context.now);
+        if (target == nullptr)
+            return;
+        const auto id = service.queue.pop();
+        ++target->inFlight;
+        context.followUp(SlotGranted { *id, target->name, target->address });
+    }
+}
+
+void dispatchAll(State& state, Context& context)
+{
+    for (auto& [name, service] : state.routing.services)
+        dispatch(state, service, context);
+}
+
+Duration retryAfter(const RoutingState& own, const RoutingService& service, std::string_view account)
+{
+    // With one turn per account and round, a request behind n others of its account waits for n + 1 rounds.
+    const auto rounds = (service.queue.lengthOf(account) + 1) * std::max<std::size_t>(service.queue.accounts(), 1);
+    const auto ahead = std::min(rounds, service.queue.size() + 1);
+    const auto slots = std::max<std::uint32_t>(ownCapacity(own, service).slots, 1);
+    return std::clamp(service.meanTime * static_cast<std::int64_t>(ahead) / static_cast<std::int64_t>(slots),
+        minRetryAfter, maxRetryAfter);
+}
+
+void keepConnections(RoutingTarget& target, Context& context)
+{
+    const bool wanted = target.owned && !target.drained && !target.health.isEjected();
+    const auto idle = wanted ? std::min(target.slots, target.connections) : 0;
+    if (idle == target.keptIdle)
+        return;
+    target.keptIdle = idle;
+    context.effect(KeepConnections { target.name, target.address, idle, target.connections });
+}
+
+void noteDrain(RoutingTarget& target, Context& context)
+{
+    if (target.drainingSince && target.inFlight == 0) {
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - *target.drainingSince);
+        context.log(LogEvent::TargetDrained, "target=" + target.name + " ms=" + std::to_string(took.count()));
+        target.drainingSince.reset();
+    }
+}
+
+} // namespace arbutuscrank::routing
