Add the peer library: CBOR codec and HTTP/2 transport

Cause: daemons had no way to exchange messages or forward requests.

The transport runs nghttp2 sessions on one epoll thread. The side that opened a connection posts batches of messages to /m and opens one GET /m whose answer carries the other side's messages, because HTTP/2 lets only the opening side start streams. The interface gains boundAddress, droppedMessages and isConnected, and settings for the memory of incomplete bodies, accepted sessions and idle sessions.

--- a/include/arbutuscrank/peer/transport.hpp
+++ b/include/arbutuscrank/peer/transport.hpp
@@ -21,11 +21,14 @@
 /// \brief Settings of a \ref PeerTransport.
 struct PeerTransportSettings {
     ProcessId self;
-    std::string listenAddress; ///< "ip:port"
+    std::string listenAddress; ///< "ip:port"; port 0 lets the system choose, see \ref PeerTransport::boundAddress
     std::chrono::milliseconds connectTimeout { 1000 };
     std::chrono::milliseconds reconnectInterval { 500 };
     std::size_t maxMessageBytes = 4U << 20U; ///< larger messages break the session
     std::size_t sendQueueBytes = 8U << 20U; ///< messages to one peer beyond this are dropped
+    std::size_t incompleteBytes = 64U << 20U; ///< bodies that are still being received, of all sessions together
+    std::size_t maxSessions = 4096; ///< connections accepted beyond this are closed
+    std::chrono::milliseconds idleTimeout { 30'000 }; ///< sessions to other than the set peers are closed after this
 };
 
 /// \brief HTTP header names (lower case) and values.
@@ -119,20 +122,30 @@
     PeerTransport& operator=(const PeerTransport&) = delete;
     virtual ~PeerTransport() = default;
 
-    /// \brief Starts listening and the thread. \returns Unavailable if the address cannot be bound
+    /// \brief Starts listening and the thread. Call once.
+    /// \returns Unavailable if the address cannot be bound, InvalidArgument if it is not an IP number with a port
     [[nodiscard]] virtual Result<void> start() = 0;
-    /// \brief Closes every session and ends the thread.
+    /// \brief Closes every session and ends the thread. Forwards that are open end, as after a broken session.
+    /// Not to be called from a callback.
     virtual void stop() = 0;
     /// \brief Replaces the peers to which sessions are kept open.
     virtual void setPeers(std::vector<PeerEndpoint> peers) = 0;
     /// \brief Sends a message; dropped if there is no session to that VM in either direction.
     virtual void send(const VmId& to, const PeerMessage& message) = 0;
-    /// \brief Sends a request to the entry at \p address, over the session to it or a new one.
+    /// \brief Sends a request to the entry at the owner's address, over the session to it or a new one.
+    /// \param owner with an empty vm, any VM at that address may answer; otherwise another one ends it with NotRun
+    /// \returns the stream; after \ref stop its onEnd has been called on this thread, with NotRun
     [[nodiscard]] virtual std::shared_ptr<ForwardStream> forward(
         const PeerEndpoint& owner, ForwardHead head, std::string body, ForwardCallbacks callbacks)
         = 0;
     /// \brief Bytes sent and received since the start, forwards left out.
     [[nodiscard]] virtual std::pair<std::uint64_t, std::uint64_t> controlBytes() const = 0;
+    /// \brief Address on which the transport listens, with the port that was chosen; empty before \ref start.
+    [[nodiscard]] virtual std::string boundAddress() const { return {}; }
+    /// \brief Messages dropped by \ref send since the start: no session, a full queue, or a session that broke.
+    [[nodiscard]] virtual std::uint64_t droppedMessages() const { return 0; }
+    /// \brief Whether a message to that VM would be queued now.
+    [[nodiscard]] virtual bool isConnected(const VmId& /*vm*/) const { return false; }
 };
 
 /// \brief Makes a transport.
--- /dev/null
+++ b/src/peer/incoming_request.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "peer/session.hpp"
+
+#include <arbutuscrank/peer/transport.hpp>
+
+#include <string>
+
+/// \file
+/// \brief A request of the other side until its headers are complete.
+
+namespace arbutuscrank::peer {
+
+/// \brief Collects the headers of a request, then hands the stream to the handler of its path.
+class IncomingRequest : public Stream {
+public:
+    explicit IncomingRequest(Session& session) noexcept
+        : m_session(session)
+    {
+    }
+
+    bool onHeader(std::string_view name, std::string_view value) override;
+    void onHeadersComplete() override;
+    bool onData(std::span<const std::uint8_t> /*bytes*/) override { return false; }
+    void onClosed(const StreamEnd& /*end*/) override { }
+
+private:
+    Session& m_session;
+    ProcessId m_from;
+    std::string m_method;
+    std::string m_path;
+    ForwardHead m_head;
+};
+
+} // namespace arbutuscrank::peer
--- /dev/null
+++ b/src/peer/message_streams.cpp
@@ -0,0 +1,257 @@
+#include "peer/message_streams.hpp"
+
+#include "peer/process_headers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <utility>
+
+namespace arbutuscrank::peer {
+
+namespace {
+
+    /// Batches without an answer after which no more are sent; the queue then fills and messages are dropped.
+    constexpr std::size_t maxUnanswered = 64;
+
+    constexpr unsigned varintBits = 7;
+    constexpr std::uint8_t varintMore = 0x80;
+
+    ssize_t copyOut(const std::string& from, std::size_t& pos, std::span<std::uint8_t> buf)
+    {
+        const auto n = std::min(buf.size(), from.size() - pos);
+        std::memcpy(buf.data(), from.data() + pos, n);
+        pos += n;
+        return static_cast<ssize_t>(n);
+    }
+
+} // namespace
+
+class MessageBatch : public Stream {
+public:
+    MessageBatch(std::shared_ptr<OutgoingMessages> messages, std::string batch)
+        : m_messages(std::move(messages))
+        , m_batch(std::move(batch))
+    {
+    }
+
+    bool onHeader(std::string_view /*name*/, std::string_view /*value*/) override { return true; }
+    bool onData(std::span<const std::uint8_t> /*bytes*/) override { return false; }
+    void onClosed(const StreamEnd& /*end*/) override
+    {
+        takeBody();
+        m_messages->batchClosed();
+    }
+    ssize_t read(std::span<std::uint8_t> buf, std::uint32_t* flags) override
+    {
+        const auto n = copyOut(m_batch, m_pos, buf);
+        if (m_pos == m_batch.size()) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            takeBody();
+        }
+        return n;
+    }
+
+private:
+    void takeBody() noexcept
+    {
+        if (!std::exchange(m_taken, true))
+            m_messages->bodyTaken();
+    }
+
+    std::shared_ptr<OutgoingMessages> m_messages;
+    std::string m_batch;
+    std::size_t m_pos = 0;
+    bool m_taken = false;
+};
+
+// --- Framing ---------------------------------------------------------------------------------------------------------
+
+void appendFrame(std::string& batch, std::span<const std::uint8_t> message)
+{
+    auto length = message.size();
+    while (length >= varintMore) {
+        batch.push_back(static_cast<char>((length & (varintMore - 1U)) | varintMore));
+        length >>= varintBits;
+    }
+    batch.push_back(static_cast<char>(length));
+    batch.append(reinterpret_cast<const char*>(message.data()), message.size());
+}
+
+std::optional<std::size_t> Session::deliverFrames(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (used < bytes.size()) {
+        std::size_t length = 0;
+        std::size_t pos = used;
+        unsigned shift = 0;
+        bool more = true;
+        while (more && pos < bytes.size()) {
+            const auto byte = static_cast<std::uint8_t>(bytes[pos++]);
+            length |= static_cast<std::size_t>(byte & (varintMore - 1U)) << shift;
+            shift += varintBits;
+            more = (byte & varintMore) != 0;
+            if (length > m_owner.settings().maxMessageBytes || (more && shift > 4 * varintBits))
+                return std::nullopt;
+        }
+        if (more || bytes.size() - pos < length)
+            break;
+        const auto message = bytes.substr(pos, length);
+        noteUse();
+        m_owner.onMessageBytes(*this, { reinterpret_cast<const std::uint8_t*>(message.data()), message.size() });
+        used = pos + length;
+    }
+    return used;
+}
+
+// --- Sending ---------------------------------------------------------------------------------------------------------
+
+std::string OutgoingMessages::takeBatch()
+{
+    std::string batch;
+    std::vector<std::uint8_t> message;
+    while (batch.size() < batchBytes && m_session.owner().takeMessage(m_session, message))
+        appendFrame(batch, message);
+    return batch;
+}
+
+bool OutgoingMessages::pump()
+{
+    if (!m_session.peer())
+        return false;
+    if (m_session.isClient() ? m_bodyOpen || m_unanswered >= maxUnanswered : !m_reverse || !m_reverse->idle())
+        return false;
+    auto batch = takeBatch();
+    if (batch.empty())
+        return false;
+    m_session.noteUse();
+    if (!m_session.isClient()) {
+        m_reverse->send(std::move(batch));
+        return true;
+    }
+    const ProcessHeaders self(m_session.owner().settings().self);
+    const std::array headers { makeHeader(":method", "POST"), makeHeader(":scheme", "http"),
+        makeHeader(":authority", "peer"), makeHeader(":path", messagePath), self.vm(), self.incarnation() };
+    m_bodyOpen = true;
+    ++m_unanswered;
+    const auto stream = std::make_shared<MessageBatch>(shared_from_this(), std::move(batch));
+    if (!m_session.submitRequest(stream, headers, true)) {
+        stream->onClosed({});
+        m_session.fail("no stream left for messages");
+    }
+    return true;
+}
+
+void OutgoingMessages::openReverse()
+{
+    const ProcessHeaders self(m_session.owner().settings().self);
+    const std::array headers { makeHeader(":method", "GET"), makeHeader(":scheme", "http"),
+        makeHeader(":authority", "peer"), makeHeader(":path", messagePath), self.vm(), self.incarnation() };
+    m_session.submitRequest(std::make_shared<ReverseReceiver>(m_session), headers, false);
+}
+
+void ReverseSender::start()
+{
+    const ProcessHeaders self(m_session.owner().settings().self);
+    const std::array headers { makeHeader(":status", "200"), self.vm(), self.incarnation() };
+    m_session.submitResponse(*this, headers, true);
+}
+
+void ReverseSender::send(std::string batch)
+{
+    m_batch = std::move(batch);
+    m_pos = 0;
+    m_session.resume(*this);
+}
+
+ssize_t ReverseSender::read(std::span<std::uint8_t> buf, std::uint32_t* /*flags*/)
+{
+    if (m_pos == m_batch.size())
+        return NGHTTP2_ERR_DEFERRED;
+    return copyOut(m_batch, m_pos, buf);
+}
+
+void ReverseSender::onClosed(const StreamEnd& end)
+{
+    m_open = false;
+    if (end.detail.empty())
+        m_session.fail("the stream for messages was reset");
+}
+
+// --- Receiving -------------------------------------------------------------------------------------------------------
+
+bool ReverseReceiver::onHeader(std::string_view name, std::string_view value)
+{
+    return name.starts_with(':') ? value == "200" : readProcessHeader(name, value, m_peer);
+}
+
+void ReverseReceiver::onHeadersComplete()
+{
+    if (!m_session.identify(m_peer))
+        m_session.fail("VM '" + m_peer.vm + "' answers instead of '" + m_session.expectedVm + "'");
+}
+
+bool ReverseReceiver::onData(std::span<const std::uint8_t> bytes)
+{
+    m_session.consume(*this, bytes.size());
+    m_bytes.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    const auto used = m_session.deliverFrames(m_bytes);
+    if (!used)
+        m_session.fail("a message is longer than the limit");
+    m_bytes.erase(0, used.value_or(0));
+    return true;
+}
+
+void ReverseReceiver::onClosed(const StreamEnd& end)
+{
+    if (end.detail.empty())
+        m_session.fail("the stream for messages was closed");
+}
+
+bool IncomingMessages::onData(std::span<const std::uint8_t> bytes)
+{
+    m_session.consume(*this, bytes.size());
+    auto& batch = m_session.incomingBatches[id];
+    if (!m_session.owner().reserveMemory(bytes.size())) {
+        m_session.fail("too many bytes of incomplete messages");
+        return false;
+    }
+    batch.bytes.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    // The last message of a batch may be one of the largest; each has up to five bytes of length.
+    if (batch.bytes.size() > batchBytes + m_session.owner().settings().maxMessageBytes + 5) {
+        m_session.fail("a batch of messages is longer than the limit");
+        return false;
+    }
+    return true;
+}
+
+void IncomingMessages::onEndOfStream()
+{
+    m_session.incomingBatches[id].complete = true;
+    const std::array headers { makeHeader(":status", "204") };
+    m_session.submitResponse(*this, headers, false);
+    m_session.deliverMessages();
+}
+
+void IncomingMessages::onClosed(const StreamEnd& end)
+{
+    const auto it = m_session.incomingBatches.find(id);
+    if (it == m_session.incomingBatches.end() || it->second.complete || !end.detail.empty())
+        return;
+    m_session.owner().releaseMemory(it->second.bytes.size());
+    m_session.incomingBatches.erase(it);
+    m_session.deliverMessages();
+}
+
+void Session::deliverMessages()
+{
+    while (!incomingBatches.empty() && incomingBatches.begin()->second.complete) {
+        const auto batch = std::move(incomingBatches.extract(incomingBatches.begin()).mapped());
+        m_owner.releaseMemory(batch.bytes.size());
+        const auto used = deliverFrames(batch.bytes);
+        if (!used || *used != batch.bytes.size())
+            return fail("a batch of messages is malformed");
+    }
+}
+
+} // namespace arbutuscrank::peer
--- a/src/peer/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Replaced with the first source of this library.
