--- a/src/config/check_changes.cpp
+++ b/src/config/check_changes.cpp
@@ -25,6 +25,8 @@
             checkReference(names.regions, shift.to, "region", path.field("to"), faults);
             if (shift.from == shift.to)
                 faults.add(path.field("to"), "another region than \"from\"", quote(shift.to));
+            if (shift.percent > limits::percent.high)
+                continue; // Reported by checkLimits().
             auto& sum = sums[{ shift.service, shift.from }];
             sum += shift.percent;
             if (sum > limits::percent.high + percentTolerance) {
--- a/src/config/object_reader.cpp
+++ b/src/config/object_reader.cpp
@@ -27,6 +27,8 @@
             return;
         }
     }
+    // The name of a VM is not looked up, so no misleading fault of the name follows.
+    value = DrainKind::Vm;
     std::string limit = "one of";
     for (const auto& it : drainKindNames)
         limit += ' ' + std::string(it);
