Retry a refused request on another own target; wait for settled ownership in system tests

Cause: a request that an own target shed was retried on the same target, because only other owners were excluded. Change: a query carries the own targets that refused it; state dump lists targets; the cluster harness waits until every target has one owner.

--- a/include/arbutuscrank/core/requests.hpp
+++ b/include/arbutuscrank/core/requests.hpp
@@ -41,6 +41,7 @@
     std::string target; ///< own target of the current attempt; empty if forwarded
     VmId owner; ///< owner that the current attempt was forwarded to
     std::set<VmId> excludedOwners;
+    std::set<std::string> excludedTargets; ///< own targets that refused it before
     std::vector<steering::RegionChoice> regions; ///< choices left; the first is being tried
     std::size_t nextQuota = 0; ///< quota of the first choice that is asked for next
     std::string refusalReason; ///< why the last choice failed
--- a/include/arbutuscrank/core/routing.hpp
+++ b/include/arbutuscrank/core/routing.hpp
@@ -157,6 +157,7 @@
         std::string_view region; ///< where to run it
         TimePoint deadline;
         const std::set<VmId>* excludedOwners = nullptr; ///< owners that refused this request before
+        const std::set<std::string>* excludedTargets = nullptr; ///< own targets that refused this request before
         bool ownTargetsOnly = false; ///< true for forwarded requests: never forward a second time
     };
 
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -101,7 +101,7 @@
     {
         const auto& request = state.requests.requests.at(id);
         const routing::Query query { id, request.service, request.account, request.regions.front().region,
-            request.deadline, &request.excludedOwners, request.forwarded };
+            request.deadline, &request.excludedOwners, &request.excludedTargets, request.forwarded };
         auto decision = routing::route(state, query, context);
         return std::visit(Placement { state, id, context }, decision);
     }
@@ -203,6 +203,8 @@
         auto& request = state.requests.requests.at(id);
         if (!request.owner.empty())
             request.excludedOwners.insert(request.owner);
+        else
+            request.excludedTargets.insert(request.target);
         chooseRegions(state, id, context);
     }
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -106,7 +106,7 @@
         return NoRoute { "no-target", {} };
     // While requests wait in the queue, free slots are theirs.
     if (query.region == state.self.region && service->second.queue.empty()) {
-        auto* target = bestTarget(own, service->second, context.now);
+        auto* target = bestTarget(own, service->second, context.now, query.excludedTargets);
         if (target != nullptr) {
             ++target->inFlight;
             return RunHere { target->name, target->address };
--- a/src/core/routing_slots.cpp
+++ b/src/core/routing_slots.cpp
@@ -25,14 +25,15 @@
     return std::min(target.share, target.limit.value());
 }
 
-RoutingTarget* bestTarget(RoutingState& own, const RoutingService& service, TimePoint now)
+RoutingTarget* bestTarget(
+    RoutingState& own, const RoutingService& service, TimePoint now, const std::set<std::string>* excluded)
 {
     RoutingTarget* best = nullptr;
     double bestLoad = 0;
     for (const auto index : service.owned) {
         auto& target = own.targets[index];
         const auto slots = usableSlots(target);
-        if (target.inFlight >= slots)
+        if (target.inFlight >= slots || (excluded != nullptr && excluded->contains(target.name)))
             continue;
         // A reported load can make a target look busier than the own count, never less busy.
         const double counted = static_cast<double>(target.inFlight) / static_cast<double>(slots);
--- a/src/daemon/state_dump.cpp
+++ b/src/daemon/state_dump.cpp
@@ -76,13 +76,25 @@
         return tree;
     }
 
+    Json dumpTargets(const State& state)
+    {
+        auto list = Json::array();
+        for (const auto& it : state.routing.targets) {
+            list.push_back({ { "target", it.name }, { "service", it.service }, { "owner", it.owner },
+                { "ownedHere", it.owned }, { "slots", it.slots }, { "slotsUsable", it.share },
+                { "inFlight", it.inFlight }, { "formerOwners", it.formerOwners.size() },
+                { "ejected", it.health.isEjected() }, { "drained", it.drained } });
+        }
+        return list;
+    }
+
 } // namespace
 
 std::string dumpState(const State& state, TimePoint now)
 {
     const Json tree { { "self", dumpSelf(state) }, { "configuration", dumpConfiguration(state, now) },
         { "members", dumpMembers(state, now) }, { "requests", dumpRequests(state) },
-        { "accounts", dumpAccounts(state, now) }, { "ownTargets", dumpLoads(state) },
+        { "accounts", dumpAccounts(state, now) }, { "ownLoads", dumpLoads(state) }, { "targets", dumpTargets(state) },
         { "stopping", draining::isStopping(state) } };
     return tree.dump(2, ' ', false, Json::error_handler_t::replace);
 }
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -210,7 +210,7 @@
         std::cerr << "apply: " << (applied ? applied.value().body : describe(applied.error())) << '\n';
         return false;
     }
-    return eventually([this] {
+    return eventually([this] { return slotsSettled(); }) && eventually([this] {
         for (std::size_t n = 0; n < m_daemons.size(); ++n) {
             const auto answer = request(n, "GET", "/kitty/ready");
             if (!answer || answer.value().status != 200)
@@ -220,6 +220,22 @@
     });
 }
 
+bool Cluster::slotsSettled() const
+{
+    std::uint64_t usable = 0;
+    std::uint64_t slots = 0;
+    for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        const auto tree = dump(n);
+        if (!tree.is_object())
+            return false;
+        for (const auto& it : tree.at("targets")) {
+            usable += it.at("slotsUsable").get<std::uint64_t>();
+            slots += it.at("ownedHere").get<bool>() ? it.at("slots").get<std::uint64_t>() : 0;
+        }
+    }
+    return usable == slots && slots == m_targets.size() * 6;
+}
+
 Result<HttpAnswer> Cluster::request(std::size_t n, std::string_view method, const std::string& path,
     std::vector<std::string> headers, std::string_view body, bool withKey) const
 {
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] std::size_t executions(const std::string& tag) const;
     /// \brief Everything that target \p n reports about its requests.
     [[nodiscard]] nlohmann::json executed(std::size_t n) const;
+    /// \brief Whether every target has one owner that may use all of its slots.
+    [[nodiscard]] bool slotsSettled() const;
     /// \brief State dump of daemon \p n; null if there is no answer.
     [[nodiscard]] nlohmann::json dump(std::size_t n) const;
 
--- a/tests/system/request_path_system_test.cpp
+++ b/tests/system/request_path_system_test.cpp
@@ -121,7 +121,7 @@
             std::cout << "refused: " << (answer ? answer.value().body : describe(answer.error())) << '\n';
         }
     }
-    EXPECT_GE(answered, 15);
+    EXPECT_GE(answered, 15) << cluster.dump(0).dump(1) << cluster.dump(1).dump(1);
 }
 
 // Guards against a withdrawn key that still works, also for callers that stay connected.
