Keep callers' paths undecoded

Cause: the decode_url setting had not been added to the callers' server, so an encoded space still broke the request line. Change: the setting is there; the system test prints the refusal it gets.

--- a/src/core/routing_internal.hpp
+++ b/src/core/routing_internal.hpp
@@ -30,8 +30,8 @@
 [[nodiscard]] std::uint32_t usableSlots(const RoutingTarget& target) noexcept;
 
 /// Least loaded own target with a free slot, or null.
-[[nodiscard]] RoutingTarget* bestTarget(RoutingState& own, const RoutingService& service, TimePoint now,
-    const std::set<std::string>* excluded = nullptr);
+[[nodiscard]] RoutingTarget* bestTarget(
+    RoutingState& own, const RoutingService& service, TimePoint now, const std::set<std::string>* excluded = nullptr);
 
 /// Whether an own target can be expected to take work within the time a request may wait.
 [[nodiscard]] bool canQueue(const RoutingState& own, const RoutingService& service);
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -163,7 +163,7 @@
     const auto threads = std::to_string(m_settings.threads);
     const std::array options { "listening_ports", m_settings.listenAddress.c_str(), "num_threads", threads.c_str(),
         "enable_keep_alive", "yes", "keep_alive_timeout_ms", "60000", "request_timeout_ms", "30000", "tcp_nodelay", "1",
-        "max_request_size", "16384", static_cast<const char*>(nullptr) };
+        "max_request_size", "16384", "decode_url", "no", static_cast<const char*>(nullptr) };
     mg_callbacks callbacks {};
     callbacks.init_connection = &CallerServer::openConnection;
     callbacks.connection_closed = &CallerServer::closedConnection;
--- a/tests/system/request_path_system_test.cpp
+++ b/tests/system/request_path_system_test.cpp
@@ -27,7 +27,7 @@
     for (std::size_t n = 0; n < cluster.daemons(); ++n) {
         const auto answer = cluster.request(n, "GET", "/kitty/a%20b/balance?pool=7&x=%2F",
             { "X-Client-Account: other", "X-Api-Key: k1.caller-secret" });
-        ASSERT_EQ(statusOf(answer), 200);
+        ASSERT_EQ(statusOf(answer), 200) << (answer ? answer.value().body : describe(answer.error()));
         EXPECT_EQ(outcomeOf(answer), "complete");
         const auto seen = nlohmann::json::parse(answer.value().body);
         EXPECT_EQ(seen.at("account"), "acme");
