Add configuration: distribution of versions, freshness evidence, and fleet tests

Cause: every daemon read the manifest once a second, took any answer as fresh and knew no peers. Change: relays watch and push, other daemons fetch checked parts from the pusher, another peer or the store; start-up takes the highest of store and peers; evidence is dated to when the store certainly knew, and only first-hand evidence is passed on, because second-hand ages lose the transit time at each hop and would never grow old in a large fleet. Tests run 24 daemons in logical time with faults of store, network, VM list and processes.

--- a/include/arbutuscrank/core/configuration.hpp
+++ b/include/arbutuscrank/core/configuration.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <arbutuscrank/config/codec.hpp>
 #include <arbutuscrank/config/document.hpp>
 #include <arbutuscrank/core/context.hpp>
 #include <arbutuscrank/core/forward.hpp>
@@ -44,24 +45,93 @@
     std::map<std::string, std::pair<const Service*, const TargetEntry*>, std::less<>> m_targets;
 };
 
+/// \brief The one call for the manifest that is open at the store.
+struct ManifestCall {
+    StoreToken token = 0;
+    bool watch = false;
+    TimePoint sentAt;
+};
+
+/// \brief Where the missing parts of the pending manifest are being fetched.
+struct PartFetch {
+    VmId peer; ///< empty: the store
+    std::uint32_t attempts = 0; ///< sources tried before this one
+    bool waiting = false; ///< for an answer; false: the next source is tried at \ref deadline
+    TimePoint deadline;
+    std::set<StoreToken> reads; ///< open reads of parts at the store
+    std::size_t partsBefore = 0; ///< parts that were here when the source was asked
+};
+
+/// \brief Which sources have answered a daemon that has no configuration yet.
+struct StartUp {
+    TimePoint nextAsk;
+    std::optional<TimePoint> firstAnswer;
+    bool store = false; ///< answered or failed
+    bool ownFailureDomain = false;
+    bool otherFailureDomain = false;
+};
+
+/// \brief Joins parts into a document; null if they are not valid.
+using JoinParts = std::optional<Document> (*)(const std::map<std::string, std::string>& parts);
+
 /// \brief State of the topic; written only by the functions below.
+///
+/// **Freshness evidence.** Evidence is a time at which one version was the store's current one. It is *first-hand* if
+/// this daemon's own read or watch gave it, and second-hand if a peer's heartbeat or push did. Rules:
+/// - A read is dated to when it was sent. A watch that ends without a change is dated to the end of
+///   configuration::watchWait after it was sent, and only if the store itself answered so. A call without an answer is
+///   no evidence. After a few watches the manifest is read, because a watch cannot tell that the store went back.
+/// - Evidence of a peer counts only if its version equals the own one. A higher version that is fresh proves that the
+///   own one is not. A lower one would prove that the own version was written later only if the store never went back,
+///   and a store restored from a backup is one of the faults that this rule has to outlast.
+/// - Only first-hand evidence is passed on. The age that a peer states leaves out the time that its message took; if
+///   second-hand evidence were passed on, it would lose that time at each hop, and in a large fleet it would hop fast
+///   enough never to grow old while the store is dead.
+/// - A new version starts with the evidence for that version, not with that for the version before.
 struct ConfigurationState {
     std::shared_ptr<const ActiveDocument> active; ///< null until a first version is in force
     Manifest manifest; ///< of the active document
-    ObjectVersion manifestObjectVersion = 0;
+    ObjectVersion manifestObjectVersion = 0; ///< of the manifest as last read
+    ManifestVersion readVersion = 0; ///< of the manifest as last read; 0 if it is not the one in force or pending
+    std::uint32_t watchesSinceRead = 0;
     std::map<std::string, std::string> parts; ///< hash to canonical text, of the active manifest
     std::optional<Manifest> pending; ///< newer manifest whose parts are not all here yet
+    std::map<std::string, std::string> pendingParts; ///< checked parts of the pending manifest that are here
+    std::size_t pendingBytes = 0;
+    std::optional<Manifest> refused; ///< latest manifest whose document is not valid
     std::optional<TimePoint> freshAt; ///< latest time at which the version was known to be the store's current one
-    bool watchOpen = false;
-    bool readOpen = false;
-    TimePoint nextRead;
+    std::optional<TimePoint> storeFreshAt; ///< the same, of first-hand evidence only
+    std::optional<TimePoint> pendingFreshAt; ///< as \ref freshAt, of the pending manifest
+    std::optional<TimePoint> pendingStoreFreshAt;
+    std::optional<ManifestCall> manifestCall;
+    TimePoint nextCall; ///< of the next call for the manifest
+    std::uint32_t callFailures = 0; ///< in a row
+    std::optional<PartFetch> fetch;
+    StartUp startUp;
+    std::map<VmId, ManifestVersion, std::less<>> peerVersions; ///< as last heard
+    ManifestVersion newerVersion = 0; ///< highest version heard of
+    VmId newerFrom;
+    TimePoint askAt; ///< when to ask \ref newerFrom for its manifest
+    std::optional<TimePoint> relayPushAt; ///< when to push to relays that have not shown the version in force
+    bool stale = true; ///< as last logged
+    std::string lastFault; ///< last refusal logged, so that a fault that stays is logged once
     std::uint64_t tokens = 0;
+    JoinParts join = &joinDocument; ///< replaced in tests that need no real documents
 };
 
 namespace configuration {
 
     /// Age of the freshness evidence past which other regions must be heard to keep serving keyed requests.
     inline constexpr Duration freshnessBound = std::chrono::seconds(6);
+    /// Time for which the shell lets the store hold a \ref WatchObject. The failure \ref StoreFailure::TimedOut of a
+    /// watch means that the store answered "no change"; a watch without an answer fails as Unavailable or Unknown.
+    inline constexpr Duration watchWait = std::chrono::seconds(2);
+    /// After the first usable answer, a daemon that starts waits this long for the store, a peer of its own failure
+    /// domain and one of another, and then puts the highest version in force. It does not wait once all have answered.
+    inline constexpr Duration startUpWait = std::chrono::seconds(1);
+    /// Most parts of a manifest, and most bytes of all its parts. A larger manifest is refused.
+    inline constexpr std::size_t maxParts = 4096;
+    inline constexpr std::size_t maxDocumentBytes = 64U << 20U;
 
     /// \brief Document in force, or null.
     [[nodiscard]] const ActiveDocument* active(const State& state) noexcept;
@@ -72,11 +142,16 @@
     /// \brief Time since the version in force was known to be current; nullopt if never.
     [[nodiscard]] std::optional<Duration> freshAge(const State& state, TimePoint now) noexcept;
 
+    /// \brief The same by first-hand evidence only, in microseconds for messages; -1 if never.
+    [[nodiscard]] std::int64_t firstHandAgeMicros(const State& state, TimePoint now) noexcept;
+
     /// \brief Whether requests that need a key may be served (section 5.1 of docs/design.md).
     [[nodiscard]] bool keyedRequestsAllowed(const State& state, TimePoint now);
 
     void onTick(State& state, Context& context);
     void onObjectRead(State& state, const ObjectRead& event, Context& context);
+    /// \brief The daemon wrote the manifest for an operator: it is read again at once.
+    void onObjectWritten(State& state, const ObjectWritten& event, Context& context);
     void onStoreCallFailed(State& state, const StoreCallFailed& event, Context& context);
     void onHeartbeat(State& state, const Heartbeat& message, Context& context);
     void onManifestPush(State& state, const ProcessId& from, const ManifestPush& message, Context& context);
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -1,105 +1,215 @@
+#include "configuration_detail.hpp"
+
 #include <arbutuscrank/config/codec.hpp>
-#include <arbutuscrank/core/manifest_codec.hpp>
-#include <arbutuscrank/core/state.hpp>
+
+#include <algorithm>
 
 namespace arbutuscrank::configuration {
 
+using namespace detail;
+
+// --- Queries ---------------------------------------------------------------------------------------------------------
+
+const ActiveDocument* active(const State& state) noexcept { return state.configuration.active.get(); }
+
+ManifestVersion version(const State& state) noexcept
+{
+    return state.configuration.active ? state.configuration.active->version() : 0;
+}
+
+std::optional<Duration> freshAge(const State& state, TimePoint now) noexcept
+{
+    if (!state.configuration.freshAt)
+        return std::nullopt;
+    return now - *state.configuration.freshAt;
+}
+
+std::int64_t firstHandAgeMicros(const State& state, TimePoint now) noexcept
+{
+    return state.configuration.storeFreshAt ? (now - *state.configuration.storeFreshAt).count() : -1;
+}
+
+bool keyedRequestsAllowed(const State& state, TimePoint now)
+{
+    if (state.configuration.active == nullptr)
+        return false;
+    const auto age = freshAge(state, now);
+    return (age && *age <= freshnessBound) || membership::hearsMajorityOfRegions(state, now);
+}
+
+// --- Versions --------------------------------------------------------------------------------------------------------
+
 namespace {
 
-    constexpr Duration readInterval = std::chrono::seconds(1);
+    bool isHash(std::string_view text)
+    {
+        return text.size() == 64 && std::all_of(text.begin(), text.end(), [](char c) {
+            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+        });
+    }
 
-    StoreToken nextToken(State& state)
+    bool isWellFormed(const Manifest& manifest)
     {
-        return (++state.configuration.tokens << storeTopicBits) | static_cast<StoreToken>(StoreTopic::Configuration);
+        return manifest.version > 0 && !manifest.parts.empty() && manifest.parts.size() <= maxParts
+            && std::all_of(
+                manifest.parts.begin(), manifest.parts.end(), [](const auto& it) { return isHash(it.second); });
     }
 
-    void tryApply(State& state, Context& context)
+    bool same(const Manifest& a, const Manifest& b)
     {
-        auto& own = state.configuration;
-        std::map<std::string, std::string> texts;
+        return a.version == b.version && a.changeId == b.changeId && a.parts == b.parts;
+    }
+
+    std::string nameOf(const Manifest& manifest)
+    {
+        return "version=" + std::to_string(manifest.version) + " change=" + manifest.changeId;
+    }
+
+    /// The waiting rule of \ref startUpWait.
+    bool mayApply(const State& state, TimePoint now)
+    {
+        const auto& own = state.configuration;
+        const auto& start = own.startUp;
+        return own.active != nullptr || (start.store && start.ownFailureDomain && start.otherFailureDomain)
+            || (start.firstAnswer && now - *start.firstAnswer >= startUpWait);
+    }
+
+    void dropPending(ConfigurationState& own)
+    {
+        own.pending.reset();
+        own.pendingParts.clear();
+        own.pendingBytes = 0;
+        own.pendingFreshAt.reset();
+        own.pendingStoreFreshAt.reset();
+        own.fetch.reset();
+    }
+
+    /// Parts of the active manifest and of the pending one before it that a new pending manifest uses as well.
+    void keepUsedParts(ConfigurationState& own)
+    {
+        std::map<std::string, std::string> kept;
+        own.pendingBytes = 0;
         for (const auto& [name, hash] : own.pending->parts) {
-            const auto it = own.parts.find(hash);
-            if (it == own.parts.end())
-                return;
-            texts[name] = it->second;
+            if (kept.contains(hash))
+                continue;
+            const auto old = own.parts.find(hash);
+            const auto early = own.pendingParts.find(hash);
+            if (old != own.parts.end())
+                kept.emplace(hash, old->second);
+            else if (early != own.pendingParts.end())
+                kept.insert(own.pendingParts.extract(early));
+            else
+                continue;
+            own.pendingBytes += kept.at(hash).size();
         }
-        auto document = joinDocument(texts);
-        if (!document) {
-            context.log(LogEvent::ConfigurationRefused, "version=" + std::to_string(own.pending->version));
-            own.pending.reset();
-            return;
-        }
-        own.manifest = std::move(*own.pending);
-        own.pending.reset();
-        own.active = std::make_shared<ActiveDocument>(own.manifest.version, std::move(*document));
-        context.log(LogEvent::ConfigurationApplied, "version=" + std::to_string(own.manifest.version));
-        context.followUp(ConfigurationApplied { own.manifest.version });
+        own.pendingParts = std::move(kept);
     }
 
 } // namespace
 
-const ActiveDocument* active(const State& state) noexcept { return state.configuration.active.get(); }
-
-ManifestVersion version(const State& state) noexcept
+StoreToken detail::nextToken(State& state)
 {
-    return state.configuration.active ? state.configuration.active->version() : 0;
+    return (++state.configuration.tokens << storeTopicBits) | static_cast<StoreToken>(StoreTopic::Configuration);
 }
 
-std::optional<Duration> freshAge(const State& state, TimePoint now) noexcept
+Duration detail::withJitter(State& state, Duration time)
 {
-    if (!state.configuration.freshAt)
-        return std::nullopt;
-    return now - *state.configuration.freshAt;
+    return time
+        + Duration(static_cast<Duration::rep>(state.random.below(static_cast<std::uint64_t>(time.count() / 4) + 1)));
 }
 
-bool keyedRequestsAllowed(const State& state, TimePoint /*now*/) { return state.configuration.active != nullptr; }
-
-void onTick(State& state, Context& context)
+void detail::logFault(State& state, std::string fault, Context& context)
 {
-    auto& own = state.configuration;
-    if (own.readOpen || context.now < own.nextRead)
+    if (fault == state.configuration.lastFault)
         return;
-    own.readOpen = true;
-    own.nextRead = context.now + readInterval;
-    context.effect(ReadObject { nextToken(state), std::string(manifestKey) });
+    context.log(LogEvent::ConfigurationRefused, fault);
+    state.configuration.lastFault = std::move(fault);
 }
 
-void onObjectRead(State& state, const ObjectRead& event, Context& context)
+void detail::addEvidence(State& state, ManifestVersion version, TimePoint at, bool firstHand)
 {
     auto& own = state.configuration;
-    if (event.key == manifestKey) {
-        own.readOpen = false;
-        auto manifest = manifestFromJson(event.value);
-        if (!manifest)
-            return;
-        own.freshAt = context.now;
-        if (manifest->version <= version(state))
-            return;
-        own.pending = std::move(*manifest);
-        for (const auto& [name, hash] : own.pending->parts) {
-            if (!own.parts.contains(hash))
-                context.effect(ReadObject { nextToken(state), partKey(hash) });
-        }
-    } else if (sha256Hex(event.value) == event.key.substr(partKey("").size())) {
-        own.parts[event.key.substr(partKey("").size())] = event.value;
+    const auto raise = [at](std::optional<TimePoint>& time) { time = std::max(time.value_or(at), at); };
+    if (own.active && version == own.active->version()) {
+        raise(own.freshAt);
+        if (firstHand)
+            raise(own.storeFreshAt);
+    } else if (own.pending && version == own.pending->version) {
+        raise(own.pendingFreshAt);
+        if (firstHand)
+            raise(own.pendingStoreFreshAt);
     }
-    if (own.pending)
-        tryApply(state, context);
 }
 
-void onStoreCallFailed(State& state, const StoreCallFailed& event, Context& /*context*/)
+bool detail::offerManifest(State& state, const Manifest& manifest, const VmId& from, Context& context)
 {
-    if (event.key == manifestKey)
-        state.configuration.readOpen = false;
+    auto& own = state.configuration;
+    const std::string source = " source=" + (from.empty() ? std::string("store") : from);
+    if (!isWellFormed(manifest)) {
+        logFault(state, "reason=malformed-manifest " + nameOf(manifest) + source, context);
+        return false;
+    }
+    if (own.active && same(manifest, own.manifest))
+        return true;
+    if (manifest.version <= version(state)) {
+        // An older answer of the store means that it lags or was restored; of a peer, only that it is behind.
+        if (from.empty() || manifest.version == version(state)) {
+            logFault(state,
+                "reason=not-newer " + nameOf(manifest) + " inForce=" + std::to_string(version(state)) + source,
+                context);
+        }
+        return false;
+    }
+    if (own.refused && same(manifest, *own.refused))
+        return false;
+    if (own.pending) {
+        if (same(manifest, *own.pending))
+            return true;
+        // Of two manifests with one version, the store's is the one that was accepted.
+        const bool replaces
+            = manifest.version > own.pending->version || (manifest.version == own.pending->version && from.empty());
+        if (!replaces)
+            return false;
+    }
+    own.pending = manifest;
+    own.pendingFreshAt.reset();
+    own.pendingStoreFreshAt.reset();
+    keepUsedParts(own);
+    if (!own.active && !own.startUp.firstAnswer)
+        own.startUp.firstAnswer = context.now;
+    startFetch(state, from, context);
+    return own.pending.has_value() || same(manifest, own.manifest);
 }
 
-void onHeartbeat(State& /*state*/, const Heartbeat& /*message*/, Context& /*context*/) { }
-void onManifestPush(State& /*state*/, const ProcessId& /*from*/, const ManifestPush& /*message*/, Context& /*context*/)
+void detail::tryApply(State& state, Context& context)
 {
+    auto& own = state.configuration;
+    if (!own.pending || !mayApply(state, context.now))
+        return;
+    std::map<std::string, std::string> texts;
+    for (const auto& [name, hash] : own.pending->parts) {
+        const auto it = own.pendingParts.find(hash);
+        if (it == own.pendingParts.end())
+            return;
+        texts[name] = it->second;
+    }
+    auto document = own.join(texts);
+    if (!document) {
+        logFault(state, "reason=invalid-document " + nameOf(*own.pending), context);
+        own.refused = std::move(own.pending);
+        dropPending(own);
+        return;
+    }
+    own.manifest = std::move(*own.pending);
+    own.parts = std::move(own.pendingParts);
+    own.freshAt = own.pendingFreshAt;
+    own.storeFreshAt = own.pendingStoreFreshAt;
+    dropPending(own);
+    own.active = std::make_shared<ActiveDocument>(own.manifest.version, std::move(*document));
+    own.lastFault.clear();
+    context.log(LogEvent::ConfigurationApplied, nameOf(own.manifest));
+    context.followUp(ConfigurationApplied { own.manifest.version });
+    pushApplied(state, context);
 }
-void onPartRequest(State& /*state*/, const ProcessId& /*from*/, const PartRequest& /*message*/, Context& /*context*/) {
-}
-void onPartReply(State& /*state*/, const ProcessId& /*from*/, const PartReply& /*message*/, Context& /*context*/) { }
-void onMemberChanged(State& /*state*/, const MemberChanged& /*event*/, Context& /*context*/) { }
 
 } // namespace arbutuscrank::configuration
--- a/src/core/membership_time.cpp
+++ b/src/core/membership_time.cpp
@@ -102,8 +102,7 @@
         Heartbeat message;
         message.sender = selfMember(state);
         message.manifestVersion = configuration::version(state);
-        const auto age = configuration::freshAge(state, now);
-        message.freshAgeMicros = age ? age->count() : -1;
+        message.freshAgeMicros = configuration::firstHandAgeMicros(state, now);
         message.loads = routing::ownLoads(state);
         return message;
     }
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -83,7 +83,7 @@
         {
             switch (topicOf(event.token)) {
             case StoreTopic::Configuration:
-                return;
+                return configuration::onObjectWritten(state, event, context);
             case StoreTopic::Quota:
                 return quota::onObjectWritten(state, event, context);
             case StoreTopic::Steering:
--- /dev/null
+++ b/tests/core/membership_failure_test.cpp
@@ -0,0 +1,137 @@
+#include <fakes/fleet.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace arbutuscrank;
+using fakes::Fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Guards against suspicion that comes and goes while a link only loses messages.
+TEST(MembershipFailure, NoFlappingAtTwentyPercentLoss)
+{
+    Fleet fleet(11, 3, 2, 4);
+    fleet.publish();
+    fleet.run(15s);
+    std::map<std::string, int> suspicions;
+    fleet.onLog = [&](const Fleet::Node& node, const WriteLog& log) {
+        const auto& own = node.state.membership;
+        const auto vm = log.detail.substr(3, log.detail.find(' ') - 3);
+        const auto* record = membership::find(node.state, vm);
+        // A member that is no peer any more falls silent because its session was closed.
+        if (log.event == LogEvent::MemberSuspected && record != nullptr && record->peerSince && !own.selfLeaving)
+            ++suspicions[node.state.self.process.vm + " of " + vm];
+    };
+    fleet.loss = 0.2;
+    fleet.run(120s);
+    int total = 0;
+    for (const auto& [pair, n] : suspicions) {
+        EXPECT_LE(n, 1) << pair;
+        total += n;
+    }
+    RecordProperty("suspicions", total);
+    std::printf("seed 11: %d suspicions in 120 s at 20%% loss\n", total);
+}
+
+// Guards against a live process whose shares and targets are given away.
+TEST(MembershipFailure, NoLiveIncarnationIsEverGone)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SCOPED_TRACE(testing::Message() << "seed " << seed);
+        Fleet fleet(seed, 3, 2, 4);
+        fleet.store.listLag = 30s;
+        auto& random = fleet.random;
+        for (int step = 0; step < 30; ++step) {
+            const auto n = random.below(fleet.nodes.size());
+            switch (random.below(6)) {
+            case 0:
+                fleet.crash(n);
+                break;
+            case 1:
+                fleet.restart(n);
+                break;
+            case 2:
+                fleet.pause(n, std::chrono::seconds(1 + random.below(60)));
+                break;
+            case 3:
+                fleet.isolate("r" + std::to_string(random.below(3)));
+                break;
+            case 4:
+                fleet.cutLinks.clear();
+                fleet.store.listDown = !fleet.store.listDown;
+                break;
+            default:
+                fleet.loss = 0.2 * random.unit();
+            }
+            fleet.run(std::chrono::seconds(random.below(20)));
+            for (const auto& observer : fleet.nodes) {
+                for (const auto& live : fleet.nodes) {
+                    EXPECT_FALSE(live.alive && membership::isGone(observer.state, live.state.self.process))
+                        << observer.state.self.process.vm << " of " << live.state.self.process.vm;
+                }
+            }
+        }
+    }
+}
+
+// Guards against shares that stay with a dead process for ever, and against records that are never removed.
+TEST(MembershipFailure, DeadMemberIsGoneAndThenForgotten)
+{
+    Fleet fleet(2, 3, 2, 4);
+    fleet.run(40s);
+    const auto dead = fleet.nodes[5].state.self.process;
+    fleet.crash(5);
+    fleet.run(membership::vmListLag - 1s);
+    EXPECT_FALSE(membership::isGone(fleet.nodes[4].state, dead));
+    EXPECT_FALSE(membership::isTrusted(fleet.nodes[4].state, dead.vm));
+    fleet.run(40s);
+    for (const auto& it : fleet.nodes)
+        EXPECT_TRUE(!it.alive || membership::isGone(it.state, dead)) << it.state.self.process.vm;
+    fleet.run(11min);
+    EXPECT_EQ(membership::find(fleet.nodes[4].state, dead.vm), nullptr);
+}
+
+// Guards against daemons that differ on the relays of a failure domain, and against peer sets that miss a region.
+TEST(MembershipFailure, AllAgreeOnRelaysAndHearAllRegionsAfterFaults)
+{
+    Fleet fleet(9, 3, 2, 4);
+    fleet.publish();
+    fleet.run(10s);
+    fleet.isolate("r1");
+    fleet.run(60s);
+    fleet.cutLinks.clear();
+    fleet.crash(0);
+    fleet.run(35s);
+    for (const auto& it : fleet.nodes) {
+        if (!it.alive)
+            continue;
+        EXPECT_EQ(it.state.membership.relays.size(), 12U);
+        EXPECT_EQ(it.state.membership.relays, fleet.nodes[1].state.membership.relays) << it.state.self.process.vm;
+        for (const auto& region : fleet.regionNames) {
+            const auto heard = it.state.membership.regionHeard.find(region);
+            EXPECT_TRUE(heard != it.state.membership.regionHeard.end() && fleet.now - heard->second <= 3s)
+                << it.state.self.process.vm << " " << region;
+        }
+    }
+}
+
+// Guards against a newcomer that stays unknown because the VM list does not show it.
+TEST(MembershipFailure, MembersAreLearnedFromHeartbeatsWithoutTheList)
+{
+    Fleet fleet(4, 3, 2, 4);
+    fleet.publish();
+    fleet.run(35s);
+    fleet.store.listDown = true;
+    const auto restarted = fleet.nodes[7].state.self.process;
+    fleet.crash(7);
+    fleet.restart(7);
+    fleet.deliver(7, VmListRead { { { "vm4", "r0", "d1", "10.0.0.4:1", "10.0.0.4:1", false } } }); // its only contact
+    fleet.run(5s);
+    EXPECT_EQ(membership::activeMembers(fleet.nodes[7].state, "r0").size(), 8U);
+    EXPECT_TRUE(membership::isGone(fleet.nodes[3].state, restarted));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/fakes/fleet.hpp
@@ -0,0 +1,371 @@
+#pragma once
+
+#include <arbutuscrank/config/codec.hpp>
+#include <arbutuscrank/core/manifest_codec.hpp>
+#include <arbutuscrank/core/reduce.hpp>
+#include <arbutuscrank/core/state.hpp>
+
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// \brief Test-only fleet of decision cores in logical time, with a network, a store and a VM list that can fail.
+///
+/// Everything random comes from one seed. Faults are plain members that a test changes between calls of Fleet::run.
+
+namespace arbutuscrank::fakes {
+
+using namespace std::chrono_literals;
+
+/// \brief Joins parts made by \ref Fleet::publish; the part "regions" lists region names. Refuses text without "part:".
+inline std::optional<Document> joinFakeParts(const std::map<std::string, std::string>& parts)
+{
+    Document document;
+    for (const auto& [name, text] : parts) {
+        if (!text.starts_with("part:"))
+            return std::nullopt;
+        if (name != "regions")
+            continue;
+        for (std::size_t at = 5; at < text.size();) {
+            const auto end = std::min(text.find(',', at), text.size());
+            document.regions.push_back({ text.substr(at, end - at), {} });
+            at = end + 1;
+        }
+    }
+    return document;
+}
+
+/// \brief Faults of the store and of the VM list.
+struct StoreFaults {
+    bool down = false;
+    std::set<std::string> cutRegions; ///< regions that cannot reach it
+    double lostAnswers = 0; ///< share of calls that are never answered
+    double staleAnswers = 0; ///< share of reads that give an older value of the manifest
+    double garbageAnswers = 0; ///< share of reads that give a text that is no manifest and no part
+    Duration delay = 2ms; ///< each way
+    bool listDown = false;
+    Duration listLag = 25s; ///< a list shows the VMs as of a random time up to this long ago
+};
+
+class Fleet {
+public:
+    struct Node {
+        explicit Node(State initial)
+            : state(std::move(initial))
+        {
+        }
+
+        State state;
+        bool alive = true;
+        std::uint64_t life = 0; ///< events for an earlier life are dropped
+        TimePoint pausedUntil;
+        std::set<VmId> peers;
+        ManifestVersion highest = 0;
+    };
+
+    /// \param domains failure domains of each region; each has \p perDomain daemons
+    Fleet(std::uint64_t seed, std::size_t regions, std::size_t domains, std::size_t perDomain)
+        : random(seed)
+    {
+        std::printf("fleet seed=%llu\n", static_cast<unsigned long long>(seed));
+        for (std::size_t r = 0; r < regions; ++r)
+            regionNames.push_back("r" + std::to_string(r));
+        for (std::size_t n = 0; n < regions * domains * perDomain; ++n) {
+            const auto domain = n / perDomain;
+            const auto vm = "vm" + std::to_string(n);
+            const auto address = "10.0.0." + std::to_string(n) + ":1";
+            const Self self { { vm, 1 }, regionNames[domain / domains], "d" + std::to_string(domain), address,
+                address };
+            nodes.emplace_back(State(self, random.next()));
+            indexOf[vm] = n;
+        }
+        for (std::size_t n = 0; n < nodes.size(); ++n)
+            start(n);
+    }
+
+    // --- What tests change ---
+    Random random;
+    std::vector<std::string> regionNames;
+    std::vector<Node> nodes;
+    StoreFaults store;
+    double loss = 0; ///< share of messages between daemons that are lost
+    std::set<std::pair<std::string, std::string>> cutLinks; ///< pairs of regions, both orders
+    std::function<void(const Node&, const WriteLog&)> onLog;
+    TimePoint now { 1s };
+
+    void cut(const std::string& a, const std::string& b)
+    {
+        cutLinks.insert({ a, b });
+        cutLinks.insert({ b, a });
+    }
+    /// \brief Cuts a region off from all others.
+    void isolate(const std::string& region)
+    {
+        for (const auto& it : regionNames) {
+            if (it != region)
+                cut(region, it);
+        }
+    }
+    void crash(std::size_t n)
+    {
+        nodes[n].alive = false;
+        ++nodes[n].life;
+        saveList();
+    }
+    /// \brief Starts a new incarnation.
+    void restart(std::size_t n)
+    {
+        auto self = nodes[n].state.self;
+        ++self.process.incarnation;
+        const auto life = nodes[n].life + 1;
+        nodes[n] = Node(State(self, random.next()));
+        nodes[n].life = life;
+        start(n);
+    }
+    /// \brief Pauses a process; what arrives meanwhile is handled when it resumes.
+    void pause(std::size_t n, Duration time) { nodes[n].pausedUntil = now + time; }
+
+    /// \brief Accepts a new version.
+    ManifestVersion publish()
+    {
+        Manifest manifest { published + 1, "change" + std::to_string(published + 1), {} };
+        std::string regions = "part:";
+        for (const auto& it : regionNames)
+            regions += it + ",";
+        for (const auto& [name, text] : { std::pair<std::string, std::string> { "regions", regions },
+                 { "accounts", "part:accounts" + std::to_string(manifest.version) } }) {
+            const auto hash = sha256Hex(text);
+            manifest.parts[name] = hash;
+            write(partKey(hash), text);
+        }
+        write(std::string(manifestKey), manifestToJson(manifest));
+        return published = manifest.version;
+    }
+
+    /// \brief Runs for a time; calls \p check after each event of a daemon.
+    void run(Duration time, const std::function<void(Node&)>& check = {})
+    {
+        const auto end = now + time;
+        while (!m_queue.empty() && m_queue.top().at <= end) {
+            auto next = m_queue.top();
+            m_queue.pop();
+            now = next.at;
+            auto& node = nodes[next.node];
+            if (next.life != node.life)
+                continue;
+            if (now < node.pausedUntil) {
+                next.at = node.pausedUntil;
+                m_queue.push(std::move(next));
+                continue;
+            }
+            handle(next.node, next.event);
+            if (check)
+                check(node);
+        }
+        now = end;
+    }
+
+    /// \brief Hands an event to a daemon at once.
+    void deliver(std::size_t n, const Event& event) { handle(n, event); }
+
+    /// \brief Live daemons whose version is not the one published last.
+    [[nodiscard]] std::size_t behind() const
+    {
+        std::size_t n = 0;
+        for (const auto& it : nodes)
+            n += it.alive && configuration::version(it.state) != published ? 1 : 0;
+        return n;
+    }
+
+    ManifestVersion published = 0;
+    std::uint64_t messages = 0;
+    std::uint64_t storeCalls = 0;
+    bool wentBack = false; ///< whether any daemon ever put a lower version in force
+
+private:
+    struct Scheduled {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::size_t node = 0;
+        std::uint64_t life = 0;
+        Event event;
+        bool operator<(const Scheduled& other) const { return std::pair(other.at, other.order) < std::pair(at, order); }
+    };
+    struct Watch {
+        std::size_t node = 0;
+        std::uint64_t life = 0;
+        WatchObject call;
+        TimePoint end;
+    };
+    struct Stored {
+        ObjectVersion version = 0;
+        std::vector<std::string> values;
+    };
+
+    void start(std::size_t n)
+    {
+        nodes[n].state.configuration.join = joinFakeParts;
+        saveList();
+        schedule(n, Duration(static_cast<std::int64_t>(random.below(50'000))), Tick {});
+    }
+
+    void schedule(std::size_t n, Duration delay, Event event)
+    {
+        m_queue.push({ now + delay, ++m_order, n, nodes[n].life, std::move(event) });
+    }
+
+    void handle(std::size_t n, const Event& event)
+    {
+        auto& node = nodes[n];
+        Outbox outbox;
+        reduce(node.state, event, now, outbox);
+        const auto version = configuration::version(node.state);
+        wentBack = wentBack || version < node.highest;
+        node.highest = version;
+        for (auto& it : outbox.effects)
+            perform(n, it);
+        if (std::holds_alternative<Tick>(event)) {
+            schedule(n, 50ms, Tick {});
+            endWatches();
+        }
+    }
+
+    void perform(std::size_t n, Effect& effect)
+    {
+        if (auto* message = std::get_if<SendMessage>(&effect)) {
+            send(n, *message);
+        } else if (auto* peers = std::get_if<SetPeers>(&effect)) {
+            nodes[n].peers.clear();
+            for (const auto& it : peers->peers)
+                nodes[n].peers.insert(it.vm);
+        } else if (auto* read = std::get_if<ReadObject>(&effect)) {
+            this->read(n, *read);
+        } else if (auto* watch = std::get_if<WatchObject>(&effect)) {
+            ++storeCalls;
+            if (reachable(n))
+                m_watches.push_back({ n, nodes[n].life, *watch, now + store.delay + configuration::watchWait });
+            else
+                fail(n, watch->token, watch->key);
+            endWatches();
+        } else if (std::holds_alternative<ListVms>(effect)) {
+            list(n);
+        } else if (auto* log = std::get_if<WriteLog>(&effect); log != nullptr && onLog) {
+            onLog(nodes[n], *log);
+        }
+    }
+
+    void send(std::size_t from, SendMessage& message)
+    {
+        const auto to = indexOf.at(message.to);
+        const auto& a = nodes[from];
+        const auto& b = nodes[to];
+        ++messages;
+        const bool session = a.peers.contains(message.to) || b.peers.contains(a.state.self.process.vm);
+        if (!session || !b.alive || random.unit() < loss
+            || cutLinks.contains({ a.state.self.region, b.state.self.region }))
+            return;
+        const Duration delay = a.state.self.region == b.state.self.region ? 1500us : 55ms;
+        schedule(to, delay, PeerMessageReceived { a.state.self.process, std::move(message.message) });
+    }
+
+    // --- Store ---
+    [[nodiscard]] bool reachable(std::size_t n) const
+    {
+        return !store.down && !store.cutRegions.contains(nodes[n].state.self.region);
+    }
+
+    void write(const std::string& key, std::string value)
+    {
+        auto& object = m_objects[key];
+        ++object.version;
+        object.values.push_back(std::move(value));
+        endWatches();
+    }
+
+    /// A call that fails is answered at once or not at all.
+    void fail(std::size_t n, StoreToken token, const std::string& key)
+    {
+        if (random.unit() < 0.5)
+            schedule(n, store.delay, StoreCallFailed { token, key, StoreFailure::Unavailable, "down" });
+    }
+
+    void answer(std::size_t n, StoreToken token, const std::string& key)
+    {
+        if (random.unit() < store.lostAnswers)
+            return;
+        const auto& object = m_objects[key];
+        ObjectRead event { token, key, object.version, object.version == 0 ? "" : object.values.back() };
+        if (object.version > 1 && random.unit() < store.staleAnswers) {
+            event.version = 1 + random.below(object.version);
+            event.value = object.values[event.version - 1];
+        }
+        if (random.unit() < store.garbageAnswers)
+            event.value = "{\"version\":";
+        schedule(n, store.delay, std::move(event));
+    }
+
+    void read(std::size_t n, const ReadObject& call)
+    {
+        ++storeCalls;
+        if (reachable(n))
+            answer(n, call.token, call.key);
+        else
+            fail(n, call.token, call.key);
+    }
+
+    void endWatches()
+    {
+        std::erase_if(m_watches, [this](const Watch& it) {
+            if (it.life != nodes[it.node].life || !reachable(it.node))
+                return true; // never answered
+            if (m_objects[it.call.key].version > it.call.after)
+                answer(it.node, it.call.token, it.call.key);
+            else if (now < it.end)
+                return false;
+            else if (random.unit() >= store.lostAnswers)
+                schedule(
+                    it.node, store.delay, StoreCallFailed { it.call.token, it.call.key, StoreFailure::TimedOut, "" });
+            return true;
+        });
+    }
+
+    // --- VM list ---
+    void saveList()
+    {
+        VmListRead list;
+        for (const auto& it : nodes) {
+            const auto& self = it.state.self;
+            if (it.alive)
+                list.vms.push_back(
+                    { self.process.vm, self.region, self.failureDomain, self.callerAddress, self.peerAddress, false });
+        }
+        m_lists[now] = std::move(list);
+    }
+
+    void list(std::size_t n)
+    {
+        ++storeCalls;
+        if (store.listDown || !reachable(n))
+            return schedule(n, 2ms, VmListFailed { "down" });
+        const auto age
+            = Duration(static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(store.listLag.count()) + 1)));
+        auto it = m_lists.upper_bound(now - age);
+        if (it != m_lists.begin())
+            --it;
+        schedule(n, 2ms, it->second);
+    }
+
+    std::map<VmId, std::size_t> indexOf;
+    std::priority_queue<Scheduled> m_queue;
+    std::uint64_t m_order = 0;
+    std::vector<Watch> m_watches;
+    std::map<std::string, Stored> m_objects;
+    std::map<TimePoint, VmListRead> m_lists;
+};
+
+} // namespace arbutuscrank::fakes
