--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -166,7 +166,8 @@
         "max_request_size", "16384", "decode_url", "no", static_cast<const char*>(nullptr) };
     mg_callbacks callbacks {};
     callbacks.init_connection = &CallerServer::openConnection;
-    callbacks.connection_closed = &CallerServer::closedConnection;
+    // connection_closed comes too late: the user data is reset and the number of the socket may be in use again.
+    callbacks.connection_close = &CallerServer::closeConnection;
     m_context = mg_start(&callbacks, this, const_cast<const char**>(options.data()));
     if (m_context == nullptr)
         return Error { ErrorCode::Unavailable, "caller.listen", m_settings.listenAddress, "cannot bind the address" };
@@ -195,7 +196,7 @@
     return 0;
 }
 
-void CallerServer::closedConnection(const mg_connection* connection)
+void CallerServer::closeConnection(const mg_connection* connection)
 {
     auto* server = static_cast<CallerServer*>(mg_get_user_data(mg_get_context(connection)));
     const std::unique_ptr<Connection> record(static_cast<Connection*>(mg_get_user_connection_data(connection)));
--- a/src/daemon/caller_server.hpp
+++ b/src/daemon/caller_server.hpp
@@ -55,7 +55,7 @@
     static int handleRequest(mg_connection* connection, void* server);
     static int handleLookup(mg_connection* connection, void* server);
     static int openConnection(const mg_connection* connection, void** data);
-    static void closedConnection(const mg_connection* connection);
+    static void closeConnection(const mg_connection* connection);
 
     void serveRequest(mg_connection* connection);
     void serveLookup(mg_connection* connection) const;
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <set>
 #include <stdexcept>
@@ -286,6 +287,16 @@
     return count;
 }
 
+std::string Cluster::logs() const
+{
+    std::string text = "\n";
+    for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        std::ifstream file(m_directory + "/vm-" + std::to_string(n) + ".log");
+        text.append(std::istreambuf_iterator<char>(file), {});
+    }
+    return text;
+}
+
 nlohmann::json Cluster::dump(std::size_t n) const
 {
     const auto answer = operate(n, "GET", "/v1/dump");
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -83,6 +83,8 @@
     [[nodiscard]] nlohmann::json executed(std::size_t n) const;
     /// \brief Whether every target has one owner that may use all of its slots.
     [[nodiscard]] bool slotsSettled() const;
+    /// \brief Log lines of all daemons, for messages of failed checks.
+    [[nodiscard]] std::string logs() const;
     /// \brief State dump of daemon \p n; null if there is no answer.
     [[nodiscard]] nlohmann::json dump(std::size_t n) const;
 
