--- a/include/arbutuscrank/core/membership.hpp
+++ b/include/arbutuscrank/core/membership.hpp
@@ -30,6 +30,7 @@
     std::optional<TimePoint> peerSince; ///< since when it is in the peer set
     TimePoint avoidUntil; ///< a silent peer of another region is not chosen again before
     TimePoint lastSent; ///< of the last heartbeat to it
+    TimePoint introducedAt; ///< of the last heartbeat to it that named this daemon's place; {}: none it can know of
     std::uint64_t relayWeight = 0; ///< rendezvous weight within its failure domain
     bool announcedLeaving = false; ///< by this incarnation itself
     bool listedLeaving = false; ///< by the VM list
@@ -44,6 +45,7 @@
     bool listOpen = false;
     std::vector<PeerEndpoint> peers; ///< as last given in \ref SetPeers
     TimePoint listSentAt;
+    TimePoint listReadAt; ///< of the last answer
     TimePoint listUnpairedUntil; ///< an answer to a call given up may still arrive until then
     bool listFailing = false; ///< the failure was logged
     TimePoint nextCheck; ///< of suspicions
@@ -60,6 +62,10 @@
 
     /// Time between heartbeats to a peer.
     inline constexpr Duration heartbeatInterval = std::chrono::seconds(1);
+    /// The same in fleets of more than \ref largeFleet other members, where a region has about 90 daemons that all
+    /// hear each other. Must stay below \ref suspicionTime.
+    inline constexpr Duration largeFleetHeartbeatInterval = std::chrono::seconds(2);
+    inline constexpr std::size_t largeFleet = 200;
     /// Silence after which a member is suspected.
     inline constexpr Duration suspicionTime = std::chrono::seconds(3);
     /// Heartbeats within \ref suspicionTime that end a suspicion.
--- a/include/arbutuscrank/core/messages.hpp
+++ b/include/arbutuscrank/core/messages.hpp
@@ -36,7 +36,7 @@
 
 /// \brief Sent to each peer once a second, and at once when the sender starts to leave.
 struct Heartbeat {
-    Member sender;
+    Member sender; ///< region, failure domain and addresses are empty while the receiver knows them
     ManifestVersion manifestVersion = 0; ///< version in force at the sender
     std::int64_t freshAgeMicros = 0; ///< time since the sender knew that its version was current; negative if never
     std::vector<ServiceLoad> loads;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -143,6 +143,7 @@
     record.gone = false;
     record.announcedLeaving = false;
     record.avoidUntil = {};
+    record.introducedAt = {};
     record.member.leaving = record.listedLeaving;
     report(state, record, MemberChange::Joined, context);
 }
--- a/src/core/membership_sources.cpp
+++ b/src/core/membership_sources.cpp
@@ -48,8 +48,10 @@
         record.lastHeard = std::max(record.lastHeard.value_or(at), at);
         record.missingSince.reset();
         record.avoidUntil = {};
-        auto& region = state.membership.regionHeard[record.member.region];
-        region = std::max(region, at);
+        if (!record.member.region.empty()) {
+            auto& region = state.membership.regionHeard[record.member.region];
+            region = std::max(region, at);
+        }
         if (!record.suspected || buffered)
             return;
         if (!record.recoveryFrom || at - *record.recoveryFrom > suspicionTime) {
@@ -115,6 +117,7 @@
     const bool paired = own.listOpen && context.now >= own.listUnpairedUntil && context.now - askedAt <= listTimeout;
     own.listOpen = false;
     own.listFailing = false;
+    own.listReadAt = context.now;
     own.nextList = context.now + listInterval;
     std::set<std::string_view> listed;
     for (const auto& it : event.vms) {
--- a/src/core/membership_time.cpp
+++ b/src/core/membership_time.cpp
@@ -14,16 +14,22 @@
     constexpr Duration drainTime = std::chrono::milliseconds(500);
     /// Time between looks at the silence of members.
     constexpr Duration checkInterval = std::chrono::milliseconds(100);
-    /// Silence after which a member that is still trusted is probed. At 20% loss two heartbeats in a row are lost every
-    /// 25 s on each link; the probes before the suspicion keep these losses from leading to one.
-    constexpr Duration probeAfter = std::chrono::milliseconds(1500);
+    /// Silence beyond the interval after which a member that is still trusted is probed. At 20% loss two heartbeats in
+    /// a row are lost every 25 s on each link; the probes before the suspicion keep these losses from leading to one.
+    constexpr Duration probeAfter = std::chrono::milliseconds(500);
     constexpr Duration probeInterval = std::chrono::milliseconds(300);
     /// Time for which a silent peer of another region is not chosen again while there are others.
     constexpr Duration avoidTime = std::chrono::seconds(30);
     /// Time for which a member that is gone is still known.
     constexpr Duration goneRetention = std::chrono::minutes(10);
-    /// Members named in each heartbeat.
+    /// Time between heartbeats to one member that name this daemon's place and some members. The others leave them out,
+    /// because places and names are most of the bytes of a heartbeat (bench/membership_bench.cpp).
+    constexpr Duration introductionInterval = std::chrono::seconds(30);
+    /// Age of the VM list from which on every heartbeat names some members.
+    constexpr Duration listOutOfReach = std::chrono::seconds(10);
+    /// Members named in each heartbeat while the VM list is out of reach, and in an introduction otherwise.
     constexpr std::size_t relayedPerHeartbeat = 3;
+    constexpr std::size_t relayedPerIntroduction = 1;
     /// Members named in a heartbeat to a daemon that is not trusted yet, which may know nobody.
     constexpr std::size_t relayedToNewcomer = 16;
 
@@ -45,6 +51,11 @@
             { own.graceFrom, record.lastHeard.value_or(TimePoint {}), record.peerSince.value_or(TimePoint {}) });
     }
 
+    Duration intervalOf(const State& state)
+    {
+        return state.membership.members.size() > largeFleet ? largeFleetHeartbeatInterval : heartbeatInterval;
+    }
+
     void checkSilence(State& state, Context& context)
     {
         auto& own = state.membership;
@@ -64,9 +75,11 @@
                     record.suspected = true;
                     record.recoveryFrom.reset();
                     record.heartbeatsSinceSuspicion = 0;
+                    record.introducedAt = {}; // it may have restarted and know nobody
                     report(state, record, MemberChange::Suspected, context);
                 }
-            } else if (!record.suspected && silence > probeAfter && context.now - record.lastSent >= probeInterval) {
+            } else if (!record.suspected && silence > intervalOf(state) + probeAfter
+                && context.now - record.lastSent >= probeInterval) {
                 sendHeartbeat(state, record, context);
             }
         }
@@ -85,7 +98,7 @@
     {
         std::vector<Member> members;
         const auto& all = state.membership.members;
-        if (all.empty())
+        if (all.empty() || limit == 0)
             return members;
         auto it = std::next(all.begin(), static_cast<std::ptrdiff_t>(state.random.below(all.size())));
         for (std::size_t n = 0; n < all.size() && members.size() < limit; ++n) {
@@ -97,16 +110,34 @@
         return members;
     }
 
-    Heartbeat makeHeartbeat(State& state, TimePoint now)
+    Heartbeat makeHeartbeat(const State& state, TimePoint now)
     {
         Heartbeat message;
-        message.sender = selfMember(state);
+        message.sender.process = state.self.process;
+        message.sender.leaving = state.membership.selfLeaving;
         message.manifestVersion = configuration::version(state);
         message.freshAgeMicros = configuration::firstHandAgeMicros(state, now);
         message.loads = routing::ownLoads(state);
         return message;
     }
 
+    /// Adds what this receiver needs: place and members for a newcomer and now and then for all.
+    void complete(State& state, MemberRecord& record, Heartbeat& message, TimePoint now)
+    {
+        auto& own = state.membership;
+        const bool newcomer = record.introducedAt == TimePoint {};
+        const bool introduce = newcomer || now - record.introducedAt >= introductionInterval;
+        record.lastSent = now;
+        if (introduce) {
+            message.sender = selfMember(state);
+            record.introducedAt = now;
+        }
+        std::size_t relayed = own.listFailing || now - own.listReadAt > listOutOfReach ? relayedPerHeartbeat : 0;
+        if (introduce)
+            relayed = std::max(relayed, newcomer ? relayedToNewcomer : relayedPerIntroduction);
+        message.relayedMembers = someHeardMembers(state, relayed, record.member.process.vm);
+    }
+
 } // namespace
 
 TimePoint evidenceTime(const State& state, TimePoint now) noexcept
@@ -122,26 +153,23 @@
 void detail::sendHeartbeat(State& state, MemberRecord& record, Context& context)
 {
     auto message = makeHeartbeat(state, context.now);
-    const auto& vm = record.member.process.vm;
-    message.relayedMembers
-        = someHeardMembers(state, record.lastSent == TimePoint {} ? relayedToNewcomer : relayedPerHeartbeat, vm);
-    record.lastSent = context.now;
-    context.send(vm, std::move(message));
+    complete(state, record, message, context.now);
+    context.send(record.member.process.vm, std::move(message));
 }
 
 void detail::sendHeartbeats(State& state, Context& context)
 {
     auto& own = state.membership;
-    own.nextHeartbeat = context.now + heartbeatInterval;
-    auto message = makeHeartbeat(state, context.now);
-    message.relayedMembers = someHeardMembers(state, relayedPerHeartbeat, {});
+    own.nextHeartbeat = context.now + intervalOf(state);
+    const auto message = makeHeartbeat(state, context.now);
     for (auto& [vm, record] : own.members) {
         // A peer may have this daemon in its peer set without being in ours; it needs to hear this daemon all the same.
         const bool heard = record.lastHeard && context.now - *record.lastHeard <= suspicionTime;
         if (!record.peerSince && !heard)
             continue;
-        record.lastSent = context.now;
-        context.send(vm, message);
+        auto copy = message;
+        complete(state, record, copy, context.now);
+        context.send(vm, std::move(copy));
     }
 }
 
--- a/src/core/reduce.cpp
+++ b/src/core/reduce.cpp
@@ -15,7 +15,13 @@
         {
             membership::onHeartbeat(state, message, context);
             configuration::onHeartbeat(state, message, context);
-            routing::onHeartbeat(state, message, context);
+            const auto* record = membership::find(state, message.sender.process.vm);
+            if (!message.sender.region.empty() || record == nullptr || record->member.process != message.sender.process)
+                return routing::onHeartbeat(state, message, context);
+            // Most heartbeats leave out the place of a sender that this daemon knows.
+            auto complete = message;
+            complete.sender = record->member;
+            routing::onHeartbeat(state, complete, context);
         }
         void operator()(const ManifestPush& message) const
         {
--- a/tests/core/configuration_test.cpp
+++ b/tests/core/configuration_test.cpp
@@ -193,4 +193,25 @@
     EXPECT_EQ(daemon.state.configuration.freshAt, sentAt + configuration::watchWait);
 }
 
+// Guards against a daemon that no relay pushes to and that never asks for the version its peers show.
+TEST(Configuration, AsksThePeerThatShowsANewerVersion)
+{
+    Daemon daemon;
+    daemon.tickFor(50ms);
+    daemon.answerWithParts(1, 1);
+    daemon.tickFor(1100ms);
+    daemon.effects.clear();
+    daemon.hear("other", 1, 0us);
+    daemon.hear("own", 2, 0us);
+    daemon.tickFor(500ms);
+    const auto asked = std::count_if(daemon.effects.begin(), daemon.effects.end(), [](const Effect& it) {
+        const auto* send = std::get_if<SendMessage>(&it);
+        const auto* request = send == nullptr ? nullptr : std::get_if<PartRequest>(&send->message);
+        return request != nullptr && request->hashes.empty() && send->to == "own";
+    });
+    EXPECT_EQ(asked, 1);
+    daemon.push("own", 2);
+    EXPECT_EQ(daemon.version(), 2U);
+}
+
 } // namespace
--- a/tests/fakes/fleet.hpp
+++ b/tests/fakes/fleet.hpp
@@ -82,7 +82,7 @@
             const Self self { { vm, 1 }, regionNames[domain / domains], "d" + std::to_string(domain), address,
                 address };
             nodes.emplace_back(State(self, random.next()));
-            indexOf[vm] = n;
+            m_indexOf[vm] = n;
         }
         for (std::size_t n = 0; n < nodes.size(); ++n)
             start(n);
@@ -261,7 +261,7 @@
 
     void send(std::size_t from, SendMessage& message)
     {
-        const auto to = indexOf.at(message.to);
+        const auto to = m_indexOf.at(message.to);
         const auto& a = nodes[from];
         const auto& b = nodes[to];
         ++messages;
@@ -360,7 +360,7 @@
         schedule(n, 2ms, it->second);
     }
 
-    std::map<VmId, std::size_t> indexOf;
+    std::map<VmId, std::size_t> m_indexOf;
     std::priority_queue<Scheduled> m_queue;
     std::uint64_t m_order = 0;
     std::vector<Watch> m_watches;
