Test the routing topic; close the gaps the tests found

Cause: the churn test found four requests on a target of three slots: a returning owner asked only the next member, not earlier interim owners. A member that had yielded a target got it back only after 5 s. Pauses were noticed by ticks only. The simulation showed that load reports, once a second, draw all entries to the same owners. Change: a take-over also asks the owners of the hold and, when this entry was unknown, all later members that are heard; a released target is announced to its owner; owners are drawn as often as they own targets, and a report fades within 200 ms to the average of all reports.

--- a/include/arbutuscrank/core/routing.hpp
+++ b/include/arbutuscrank/core/routing.hpp
@@ -46,6 +46,7 @@
 
     std::vector<std::uint16_t> order; ///< rendezvous order, as indexes into RoutingState::regionVms
     VmId owner; ///< as this process sees it; empty if nobody
+    std::map<VmId, TimePoint> pastOwners; ///< owners of the last \ref routing::ownershipHold, and until when they were
     std::vector<FormerOwner> formerOwners; ///< take-over not complete while there are any
     TimePoint nextQuery;
     ProcessId yieldedTo; ///< member that asked for the target; empty if none
@@ -74,12 +75,14 @@
     std::uint32_t slots = 0; ///< as in the last heartbeat
     std::uint32_t busy = 0; ///< in flight and queued in the last heartbeat
     std::uint32_t forwards = 0; ///< own forwards outstanding that were sent after the last heartbeat
+    std::uint32_t olderForwards = 0; ///< own forwards outstanding that were sent before it
     std::map<std::string, TimePoint, std::less<>> refusedUntil; ///< by account: a full queue refuses one account
 };
 
 /// \brief What this entry knows of another owner.
 struct OwnerRecord {
     std::uint64_t heartbeats = 0;
+    TimePoint heardAt = TimePoint::min(); ///< of the last heartbeat
     TimePoint unreachableUntil = TimePoint::min(); ///< after a failed connect
     std::map<std::string, OwnerLoad, std::less<>> loads; ///< by service
 };
@@ -89,6 +92,7 @@
     VmId vm;
     std::string address; ///< peer address
     std::uint32_t targets = 0; ///< targets of the service that it owns and that are in service
+    std::uint32_t targetsBefore = 0; ///< sum over the choices before it
 };
 
 /// \brief A forward that has not ended.
@@ -107,6 +111,7 @@
     std::map<std::string, std::vector<OwnerChoice>, std::less<>> owners; ///< by region; this entry is not in it
     FairQueue queue;
     Duration meanTime = std::chrono::milliseconds(50); ///< moving average of the time of a request on a target
+    double meanBusy = 0; ///< average share of busy slots in the last reports of the own region's owners
     RetryBudget retries;
 };
 
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -186,6 +186,7 @@
 
 void onConfigurationApplied(State& state, const ConfigurationApplied& /*event*/, Context& context)
 {
+    notePause(state, context);
     auto& own = state.routing;
     const auto& active = *configuration::active(state);
     for (auto& target : own.targets)
--- a/src/core/routing_health.cpp
+++ b/src/core/routing_health.cpp
@@ -126,6 +126,7 @@
 
 void onProbeEnded(State& state, const ProbeEnded& event, Context& context)
 {
+    notePause(state, context);
     const auto it = state.routing.targetIndex.find(event.target);
     if (it == state.routing.targetIndex.end())
         return;
--- a/src/core/routing_owners.cpp
+++ b/src/core/routing_owners.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+    /// Age at which a report says nothing more about the moment; a few times the time of a request.
+    constexpr Duration reportLifetime = std::chrono::milliseconds(200);
     constexpr double noWait = 0;
     constexpr double endlessWait = std::numeric_limits<double>::infinity();
 
@@ -27,8 +29,11 @@
         return std::max(noWait, (busy + 1 - slots) / slots);
     }
 
-    Candidate estimate(
-        const RoutingState& own, const RoutingService& service, const OwnerChoice& choice, std::string_view name)
+    /// Expected load of an owner. A report describes requests that end within some ten milliseconds, but comes once a
+    /// second: with its full weight all that time, all entries would send their work to the owners that were idle when
+    /// they reported. It therefore fades to the average of all reports, and the own forwards gain weight.
+    Candidate estimate(const RoutingState& own, const RoutingService& service, const OwnerChoice& choice,
+        std::string_view name, TimePoint now)
     {
         double slots = static_cast<double>(choice.targets) * service.slotsPerTarget;
         double busy = 0;
@@ -36,9 +41,13 @@
         if (record != own.ownerRecords.end()) {
             const auto load = record->second.loads.find(name);
             if (load != record->second.loads.end()) {
-                if (load->second.reported)
-                    slots = load->second.slots;
-                busy = load->second.busy + load->second.forwards;
+                const auto& it = load->second;
+                if (it.reported)
+                    slots = it.slots;
+                const double age
+                    = record->second.heartbeats == 0 ? 0 : static_cast<double>((now - record->second.heardAt).count());
+                const double weight = std::max(0.0, 1 - age / static_cast<double>(reportLifetime.count()));
+                busy = weight * it.busy + (1 - weight) * (slots * service.meanBusy + it.olderForwards) + it.forwards;
             }
         }
         return { &choice, slots - busy, expectedWait(slots, busy) };
@@ -65,6 +74,25 @@
         return query.excludedOwners != nullptr && query.excludedOwners->contains(choice.vm);
     }
 
+    /// Random owner, as often as it owns targets: an owner of one target must not be drawn as often as one of four.
+    const OwnerChoice& drawByTargets(const std::vector<OwnerChoice>& choices, Random& random)
+    {
+        const auto drawn = random.below(choices.back().targetsBefore + choices.back().targets);
+        const auto after = std::upper_bound(choices.begin(), choices.end(), drawn,
+            [](std::uint64_t value, const OwnerChoice& choice) { return value < choice.targetsBefore; });
+        return *std::prev(after);
+    }
+
+    /// Fills in the running sums for \ref drawByTargets.
+    void sumTargets(std::vector<OwnerChoice>& choices)
+    {
+        std::uint32_t sum = 0;
+        for (auto& choice : choices) {
+            choice.targetsBefore = sum;
+            sum += choice.targets;
+        }
+    }
+
     /// The better of two random owners. More random owners than two would send all entries to the same one while
     /// the reports of its load are out of date.
     struct Pick {
@@ -77,7 +105,7 @@
     {
         Pick pick;
         const auto consider = [&](const OwnerChoice& choice) {
-            const auto candidate = estimate(state.routing, service, choice, query.service);
+            const auto candidate = estimate(state.routing, service, choice, query.service, now);
             if (pick.best.choice == nullptr || candidate.wait < pick.best.wait
                 || (candidate.wait == pick.best.wait && candidate.freeSlots > pick.best.freeSlots))
                 pick.best = candidate;
@@ -88,7 +116,7 @@
         int found = 0;
         const OwnerChoice* first = nullptr;
         for (int n = 0; n < maxDraws && found < wanted && !choices.empty(); ++n) {
-            const auto& choice = choices[state.random.below(choices.size())];
+            const auto& choice = drawByTargets(choices, state.random);
             if (&choice == first || isExcluded(choice, query) || avoidedUntil(state.routing, choice, query) > now)
                 continue;
             first = &choice;
@@ -132,7 +160,7 @@
         if (at != choices.end() && at->vm == vm)
             ++at->targets;
         else
-            choices.insert(at, OwnerChoice { vm, address, 1 });
+            choices.insert(at, OwnerChoice { vm, address, 1, 0 });
     }
 
     /// Owners in another region, by the members known there. Few of them are heard from here, so that members which are
@@ -158,9 +186,29 @@
                 addOwner(choices, owner, membership::find(state, owner)->member.peerAddress);
             }
         }
+        sumTargets(choices);
         return service.owners.emplace(std::string(query.region), std::move(choices)).first->second;
     }
 
+    /// Average share of busy slots in the last reports of the own region.
+    void updateMeanBusy(
+        const RoutingState& own, std::string_view name, RoutingService& service, const std::string& region)
+    {
+        std::uint64_t slots = 0;
+        std::uint64_t busy = 0;
+        for (const auto& choice : service.owners[region]) {
+            const auto record = own.ownerRecords.find(choice.vm);
+            if (record == own.ownerRecords.end())
+                continue;
+            const auto load = record->second.loads.find(name);
+            if (load == record->second.loads.end() || !load->second.reported)
+                continue;
+            slots += load->second.slots;
+            busy += load->second.busy;
+        }
+        service.meanBusy = slots == 0 ? 0 : static_cast<double>(busy) / static_cast<double>(slots);
+    }
+
 } // namespace
 
 void rebuildOwners(State& state)
@@ -187,6 +235,8 @@
                 addOwner(service->second.owners[state.self.region], target.owner, record->member.peerAddress);
         }
     }
+    for (auto& [name, service] : own.services)
+        sumTargets(service.owners[state.self.region]);
 }
 
 Decision enqueue(State& state, RoutingService& service, const Query& query, Context& context)
@@ -247,8 +297,12 @@
         return;
     auto& load = it->second;
     // A forward that the last heartbeat already counted leaves the reported load, a newer one the own count.
-    auto& counted = sent.heartbeats == record->second.heartbeats ? load.forwards : load.busy;
-    counted -= std::min<std::uint32_t>(counted, 1);
+    if (sent.heartbeats == record->second.heartbeats) {
+        load.forwards -= std::min<std::uint32_t>(load.forwards, 1);
+    } else {
+        load.busy -= std::min<std::uint32_t>(load.busy, 1);
+        load.olderForwards -= std::min<std::uint32_t>(load.olderForwards, 1);
+    }
     if (event.cancelled || event.outcome != AttemptOutcome::NotRun)
         return;
     if (event.shed || event.status != 0)
@@ -263,10 +317,12 @@
         return;
     auto& record = state.routing.ownerRecords[message.sender.process.vm];
     ++record.heartbeats;
+    record.heardAt = context.now;
     for (auto& [name, load] : record.loads) {
         load.reported = false;
         load.slots = 0;
         load.busy = 0;
+        load.olderForwards += load.forwards;
         load.forwards = 0;
         std::erase_if(load.refusedUntil, [&context](const auto& it) { return it.second <= context.now; });
     }
@@ -275,6 +331,9 @@
         load.reported = true;
         load.slots = it.slots;
         load.busy = it.inFlight + it.queued;
+        const auto service = state.routing.services.find(it.service);
+        if (service != state.routing.services.end())
+            updateMeanBusy(state.routing, service->first, service->second, state.self.region);
     }
 }
 
--- a/src/core/routing_ownership.cpp
+++ b/src/core/routing_ownership.cpp
@@ -75,31 +75,41 @@
 
     // --- Take-over ---------------------------------------------------------------------------------------------------
 
-    /// Finds the members that may still send work to a target that this entry takes over: those before it in the
-    /// order, which are silent or leaving, and on request the next one, which was the owner while this one was unknown.
+    /// Finds the members that may still run requests on a target that this entry takes over: those before it in the
+    /// order, which are silent or leaving, and the owners of the time of the hold. On request also those after it: one
+    /// of them was the owner while this entry was unknown, and others may have been before.
     void findFormerOwners(
-        State& state, RoutingTarget& target, const std::vector<bool>& active, bool includeNext, Context& context)
+        State& state, RoutingTarget& target, const std::vector<bool>& active, bool includeLater, Context& context)
     {
         target.formerOwners.clear();
         target.nextQuery = context.now;
         bool above = true;
+        bool nextFound = false;
         for (const auto index : target.order) {
             const auto& vm = state.routing.regionVms[index];
             if (vm == state.self.process.vm) {
                 above = false;
                 continue;
             }
-            if (!above && !includeNext)
-                return;
-            const auto* record = membership::find(state, vm);
-            target.formerOwners.push_back({ record->member.process, above, context.now, std::nullopt });
-            if (!above && active[index])
-                return;
+            const bool recent = target.pastOwners.contains(vm);
+            const bool later = includeLater && (!nextFound || membership::isTrusted(state, vm));
+            if (above || recent || later)
+                target.formerOwners.push_back(
+                    { membership::find(state, vm)->member.process, above, context.now, std::nullopt });
+            nextFound = nextFound || (!above && active[index]);
         }
     }
 
+    /// Notes who stops being the owner by this process's view, as long as its requests may run.
+    void notePastOwner(RoutingTarget& target, const VmId& owner, TimePoint now)
+    {
+        std::erase_if(target.pastOwners, [now](const auto& it) { return now - it.second >= ownershipHold; });
+        if (!target.owner.empty() && target.owner != owner)
+            target.pastOwners[target.owner] = now;
+    }
+
     void acquire(
-        State& state, RoutingTarget& target, const std::vector<bool>& active, bool includeNext, Context& context)
+        State& state, RoutingTarget& target, const std::vector<bool>& active, bool includeLater, Context& context)
     {
         target.owned = true;
         target.keepsHalf = false;
@@ -115,7 +125,7 @@
             target.limit.startCold(context.now);
         else
             target.limit.startWarm(target.slots);
-        findFormerOwners(state, target, active, includeNext, context);
+        findFormerOwners(state, target, active, includeLater, context);
         context.log(LogEvent::TargetOwned,
             "target=" + target.name + " former-owners=" + std::to_string(target.formerOwners.size()));
     }
@@ -134,7 +144,7 @@
     bool isSettled(const State& state, FormerOwner& former, TimePoint now)
     {
         const auto* record = membership::find(state, former.process.vm);
-        if (record == nullptr || record->gone)
+        if (record == nullptr || record->gone || membership::isGone(state, former.process))
             return true;
         if (former.process.incarnation == 0)
             former.process = record->member.process;
@@ -254,25 +264,34 @@
     noteIsolation(state, context);
     const auto active = activeVms(state);
     const auto& self = state.self.process.vm;
+    std::map<VmId, OwnerReply> released;
     for (auto& target : own.targets) {
         const auto first = std::find_if(
             target.order.begin(), target.order.end(), [&active](std::uint16_t index) { return active[index]; });
-        target.owner = first == target.order.end() ? VmId() : own.regionVms[*first];
-        bool includeNext = own.startedAt && context.now - *own.startedAt < startWait + yieldTime;
+        auto owner = first == target.order.end() ? VmId() : own.regionVms[*first];
+        bool includeLater = own.startedAt && context.now - *own.startedAt < startWait + yieldTime;
         if (!target.yieldedTo.vm.empty()) {
-            if (target.owner == self && yieldStands(state, target, context.now)) {
-                target.owner = target.yieldedTo.vm;
+            if (owner == self && yieldStands(state, target, context.now)) {
+                owner = target.yieldedTo.vm;
             } else {
                 target.yieldedTo = {};
-                includeNext = true;
+                includeLater = true;
             }
         }
+        notePastOwner(target, owner, context.now);
+        target.owner = std::move(owner);
         const bool wanted = target.listed && target.owner == self;
         if (wanted && !target.owned)
-            acquire(state, target, active, includeNext, context);
-        else if (!wanted && target.owned)
+            acquire(state, target, active, includeLater, context);
+        else if (!wanted && target.owned) {
             release(target, context);
+            if (target.listed && !target.owner.empty() && target.yieldedTo.vm.empty())
+                released[target.owner].inFlight[target.name] = target.inFlight;
+        }
     }
+    // A member that yielded a target learns at once that it can have the target back.
+    for (auto& [vm, reply] : released)
+        context.send(vm, std::move(reply));
     rebuildOwners(state);
     refreshShares(state, context);
 }
@@ -345,11 +364,20 @@
 {
     notePause(state, context);
     auto& own = state.routing;
+    bool returned = false;
     for (const auto& [name, count] : message.inFlight) {
         const auto it = own.targetIndex.find(name);
-        if (it == own.targetIndex.end() || !own.targets[it->second].owned)
+        if (it == own.targetIndex.end())
+            continue;
+        auto& target = own.targets[it->second];
+        if (!target.owned) {
+            if (target.yieldedTo.vm != from.vm)
+                continue;
+            target.yieldedUntil = context.now;
+            returned = true;
             continue;
-        for (auto& former : own.targets[it->second].formerOwners) {
+        }
+        for (auto& former : target.formerOwners) {
             if (former.process.vm != from.vm || from.incarnation < former.process.incarnation)
                 continue;
             former.process = from;
@@ -357,11 +385,14 @@
             former.since = context.now;
         }
     }
+    if (returned)
+        return syncOwnership(state, context);
     refreshShares(state, context);
 }
 
 void onMemberChanged(State& state, const MemberChanged& event, Context& context)
 {
+    notePause(state, context);
     if (event.change == MemberChange::Gone)
         state.routing.ownerRecords.erase(event.process.vm);
     syncOwnership(state, context);
--- /dev/null
+++ b/tests/core/routing_target_failure_test.cpp
@@ -0,0 +1,260 @@
+#include "core/routing_test_support.hpp"
+
+// Faults of targets and overload of one entry.
+
+namespace arbutuscrank::routing_test {
+namespace {
+
+    std::string runOne(Fleet& fleet, AttemptOutcome outcome = AttemptOutcome::Complete, bool shed = false)
+    {
+        (void)fleet.request(fleet[0]);
+        if (fleet[0].running.empty())
+            return {};
+        const auto [id, target] = *fleet[0].running.begin();
+        fleet.end(fleet[0], id, outcome, shed);
+        return target;
+    }
+
+    void probe(Fleet& fleet, const std::string& target, bool healthy)
+    {
+        fleet.call(fleet[0], [&](State& s, Context& c) { routing::onProbeEnded(s, { target, healthy, {} }, c); });
+    }
+
+    // A target that sheds must get less work at once and get it back step by step.
+    TEST(RoutingTargetFailure, ShedHalvesOncePerRoundAndRecovers)
+    {
+        Fleet fleet(1, makeDocument(1, 6));
+        for (int n = 0; n < 6; ++n)
+            (void)fleet.request(fleet[0]);
+        fleet.advance(10 * ms);
+        fleet.end(fleet[0], 1, AttemptOutcome::NotRun, true);
+        fleet.end(fleet[0], 2, AttemptOutcome::NotRun, true);
+        EXPECT_EQ(routing::ownLoads(fleet[0].state).front().slots, 3U) << "one round, one decrease";
+        while (!fleet[0].running.empty())
+            fleet.end(fleet[0], fleet[0].running.begin()->first);
+        for (int n = 0; n < 12; ++n)
+            runOne(fleet);
+        EXPECT_EQ(routing::ownLoads(fleet[0].state).front().slots, 6U);
+    }
+
+    // A target that always reports full load but answers well must not lose capacity; one that reports no load while it
+    // runs requests must not attract more.
+    TEST(RoutingTargetFailure, LiesAboutLoadDoNotChangeCapacity)
+    {
+        Fleet fleet(1, makeDocument(2, 3));
+        for (const double lie : { 1.0, 0.0 }) {
+            for (int n = 0; n < 4; ++n)
+                (void)fleet.request(fleet[0]);
+            std::map<std::string, int> counts;
+            for (const auto& [id, target] : fleet[0].running)
+                ++counts[target];
+            EXPECT_GE(counts["t0"], 1);
+            EXPECT_GE(counts["t1"], 1);
+            while (!fleet[0].running.empty()) {
+                const auto [id, target] = *fleet[0].running.begin();
+                fleet.end(fleet[0], id, AttemptOutcome::Complete, false, 10 * ms,
+                    target == "t0" ? std::optional(lie) : std::nullopt);
+            }
+            EXPECT_EQ(routing::ownLoads(fleet[0].state).front().slots, 6U);
+        }
+    }
+
+    // A target that accepts connections and never answers holds slots until the deadline. Its healthy probes must not
+    // bring it back again and again.
+    TEST(RoutingTargetFailure, HealthyProbesAreNotBelievedOverOutcomes)
+    {
+        Fleet fleet(1, makeDocument(2, 1));
+        std::map<std::string, int> failures;
+        while (!fleet[0].target("t0").health.isEjected()) {
+            (void)fleet.request(fleet[0]);
+            (void)fleet.request(fleet[0]);
+            fleet.cancelQueued(fleet[0]);
+            while (!fleet[0].running.empty()) {
+                const auto [id, target] = *fleet[0].running.begin();
+                failures[target] += target == "t0" ? 1 : 0;
+                fleet.end(fleet[0], id, target == "t0" ? AttemptOutcome::Unknown : AttemptOutcome::Complete, false,
+                    5000 * ms);
+            }
+        }
+        EXPECT_EQ(failures["t0"], 3);
+        for (int n = 0; n < 3; ++n)
+            EXPECT_EQ(runOne(fleet), "t1");
+        int returns = 0;
+        for (int n = 0; n < 600; ++n) { // one minute, a healthy probe every 100 ms
+            fleet.advance(100 * ms);
+            probe(fleet, "t0", true);
+            if (fleet[0].target("t0").health.isEjected())
+                continue;
+            ++returns;
+            while (!fleet[0].target("t0").health.isEjected()) {
+                (void)fleet.request(fleet[0]);
+                const auto [id, target] = *fleet[0].running.begin();
+                fleet.end(fleet[0], id, target == "t0" ? AttemptOutcome::NotRun : AttemptOutcome::Complete);
+            }
+            while (!fleet[0].running.empty())
+                fleet.end(fleet[0], fleet[0].running.begin()->first);
+        }
+        // Without growing distrust it would return on each of the 600 probes.
+        EXPECT_LE(returns, 6);
+        EXPECT_GE(returns, 2);
+    }
+
+    // A health endpoint that reports failure while requests succeed must not take the target out.
+    TEST(RoutingTargetFailure, BadProbesDoNotOutweighSuccesses)
+    {
+        Fleet fleet(1, makeDocument(2, 1));
+        for (int n = 0; n < 20; ++n) {
+            for (const auto* name : { "t0", "t1" })
+                probe(fleet, name, false);
+            (void)fleet.request(fleet[0]);
+            (void)fleet.request(fleet[0]);
+            while (!fleet[0].running.empty())
+                fleet.end(fleet[0], fleet[0].running.begin()->first);
+            fleet.advance(1000 * ms);
+        }
+        EXPECT_EQ(routing::ownLoads(fleet[0].state).front().slots, 2U);
+    }
+
+    // One probe at a time per target: a target that answers slowly must not collect probes of 6 ms each.
+    TEST(RoutingTargetFailure, OneProbeIsOutstanding)
+    {
+        Fleet fleet(1, makeDocument(1, 1));
+        fleet.advance(10'000 * ms);
+        EXPECT_EQ(fleet[0].probes["t0"], 1);
+        probe(fleet, "t0", true);
+        fleet.advance(2050 * ms);
+        EXPECT_EQ(fleet[0].probes["t0"], 2);
+    }
+
+    // All targets fail at once, as when this entry's own network breaks: at most half may be taken out.
+    TEST(RoutingTargetFailure, AtMostHalfIsEjected)
+    {
+        for (const std::size_t targets : { 1U, 2U, 5U, 8U }) {
+            Fleet fleet(1, makeDocument(targets, 2));
+            for (int n = 0; n < 400; ++n) {
+                runOne(fleet, AttemptOutcome::NotRun);
+                fleet.advance(20 * ms);
+                const auto ejected = std::count_if(fleet[0].state.routing.targets.begin(),
+                    fleet[0].state.routing.targets.end(), [](const auto& it) { return it.health.isEjected(); });
+                ASSERT_LE(static_cast<std::size_t>(ejected), targets / 2);
+            }
+        }
+    }
+
+    // A target that comes back has cold caches: full load at once would make it fail again.
+    TEST(RoutingTargetFailure, ComesBackCold)
+    {
+        Fleet fleet(1, makeDocument(2, 6));
+        std::string dead = runOne(fleet, AttemptOutcome::NotRun);
+        EXPECT_EQ(fleet[0].logs[LogEvent::TargetUnhealthy], 1);
+        probe(fleet, dead, true);
+        auto& target = fleet[0].target(dead);
+        std::vector<std::uint32_t> limits { target.limit.value() };
+        for (int n = 0; n < 70; ++n) {
+            fleet.advance(100 * ms);
+            for (int request = 0; request < 8; ++request)
+                (void)fleet.request(fleet[0]);
+            ASSERT_LE(target.inFlight, target.limit.value());
+            while (!fleet[0].running.empty())
+                fleet.end(fleet[0], fleet[0].running.begin()->first);
+            if (target.limit.value() != limits.back())
+                limits.push_back(target.limit.value());
+        }
+        EXPECT_EQ(limits, (std::vector<std::uint32_t> { 1, 2, 4, 6 }));
+    }
+
+    // A drained target must get nothing new, keep its running request, and report the end of the drain.
+    TEST(RoutingTargetFailure, DrainLetsRequestsEndAndIsLogged)
+    {
+        for (int kind = 0; kind < 4; ++kind) {
+            auto document = makeDocument(1, 2);
+            Fleet fleet(1, document);
+            (void)fleet.request(fleet[0]);
+            if (kind == 0)
+                document.services[0].targets[0].draining = true;
+            else if (kind == 1)
+                document.drains.push_back({ DrainKind::Target, "t0" });
+            else if (kind == 2)
+                document.drains.push_back({ DrainKind::FailureDomain, "bangor-1" });
+            else
+                document.services[0].targets.clear(); // removed with a request in flight
+            fleet.apply(fleet[0], document);
+            EXPECT_TRUE(std::holds_alternative<routing::NoRoute>(fleet.request(fleet[0])));
+            EXPECT_EQ(fleet[0].logs[LogEvent::TargetDraining], 1);
+            EXPECT_EQ(fleet[0].logs[LogEvent::TargetDrained], 0);
+            fleet.end(fleet[0], 1);
+            EXPECT_EQ(fleet[0].logs[LogEvent::TargetDrained], 1);
+            fleet.advance(100 * ms);
+            EXPECT_EQ(fleet[0].state.routing.targets.size(), kind == 3 ? 0U : 1U);
+        }
+    }
+
+    // One account at five times its rate fills its own line; the others' requests must not wait behind it or be
+    // refused.
+    TEST(RoutingTargetFailure, GreedyAccountDoesNotStarveOthers)
+    {
+        auto document = makeDocument(2, 3);
+        document.services[0].queueTotal = 20;
+        Fleet fleet(1, document);
+        Random random(20261204);
+        Duration worst {};
+        int refused = 0;
+        for (int step = 0; step < 4000; ++step) {
+            for (int n = 0; n < 5; ++n)
+                (void)fleet.request(fleet[0], "greedy");
+            std::string name = "small";
+            name += std::to_string(step % 3);
+            refused += std::holds_alternative<routing::NoRoute>(fleet.request(fleet[0], name)) ? 1 : 0;
+            const auto small = fleet.lastId;
+            for (int n = 0; n < 2 && !fleet[0].running.empty(); ++n) {
+                auto it = fleet[0].running.begin();
+                std::advance(it, random.below(fleet[0].running.size()));
+                fleet.end(fleet[0], it->first);
+            }
+            fleet.advance(5 * ms);
+            for (const auto& [id, since] : fleet[0].queued) {
+                if (id % 6 == small % 6)
+                    worst = std::max(worst, fleet.now - since);
+            }
+        }
+        EXPECT_EQ(refused, 0);
+        EXPECT_LE(worst, 50 * ms); // at most four accounts take turns: 4 turns at 2 per 5 ms, with room for ticks
+    }
+
+    // Requests that can no longer be served here must be refused, not left waiting.
+    TEST(RoutingTargetFailure, QueueIsRefusedWhenTargetsAreLost)
+    {
+        Fleet fleet(1, makeDocument(1, 1));
+        (void)fleet.request(fleet[0]);
+        (void)fleet.request(fleet[0]);
+        fleet[0].state.membership.selfLeaving = true;
+        fleet.call(fleet[0], [](State& s, Context& c) { routing::startLeaving(s, c); });
+        EXPECT_TRUE(fleet[0].queued.empty());
+        EXPECT_EQ(fleet[0].refused[2], "no-target");
+    }
+
+    // An idle service must be able to retry, and a failing one must not double its load by retries.
+    TEST(RoutingTargetFailure, RetryBudgetIsTenPercent)
+    {
+        Fleet fleet(1, makeDocument(1, 1));
+        auto& state = fleet[0].state;
+        int idle = 0;
+        while (routing::takeRetry(state, serviceName))
+            ++idle;
+        EXPECT_GE(idle, 1);
+        int retries = 0;
+        for (int n = 0; n < 1000; ++n) {
+            routing::countFirstTry(state, serviceName);
+            retries += routing::takeRetry(state, serviceName) ? 1 : 0;
+        }
+        EXPECT_EQ(retries, 100);
+        for (int n = 0; n < 1000; ++n)
+            routing::countFirstTry(state, serviceName);
+        int saved = 0;
+        while (routing::takeRetry(state, serviceName))
+            ++saved;
+        EXPECT_EQ(saved, 10);
+    }
+
+} // namespace
+} // namespace arbutuscrank::routing_test
