Place excluded targets last in the routing query; mark late admissions as cancelled

Cause: a field in the middle broke aggregate initialization in the routing tests, and an admission refused after a pause of the process counted as a failure of its target. Change: the field comes last; the refusal carries the cancelled mark.

--- a/include/arbutuscrank/core/routing.hpp
+++ b/include/arbutuscrank/core/routing.hpp
@@ -162,8 +162,8 @@
         std::string_view region; ///< where to run it
         TimePoint deadline;
         const std::set<VmId>* excludedOwners = nullptr; ///< owners that refused this request before
-        const std::set<std::string>* excludedTargets = nullptr; ///< own targets that refused this request before
         bool ownTargetsOnly = false; ///< true for forwarded requests: never forward a second time
+        const std::set<std::string>* excludedTargets = nullptr; ///< own targets that refused this request before
     };
 
     /// \brief Run on a target of this entry; a slot is taken until \ref attemptEnded.
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -101,7 +101,7 @@
     {
         const auto& request = state.requests.requests.at(id);
         const routing::Query query { id, request.service, request.account, request.regions.front().region,
-            request.deadline, &request.excludedOwners, &request.excludedTargets, request.forwarded };
+            request.deadline, &request.excludedOwners, request.forwarded, &request.excludedTargets };
         auto decision = routing::route(state, query, context);
         return std::visit(Placement { state, id, context }, decision);
     }
--- a/src/daemon/request_session.cpp
+++ b/src/daemon/request_session.cpp
@@ -69,6 +69,7 @@
         end.id = m_id;
         end.attempt = attempt.attempt;
         end.outcome = AttemptOutcome::NotRun;
+        end.cancelled = true; // says nothing about the target
         end.detail = "the admission is older than 250 ms";
         return report(end);
     }
