Keep time increasing between runs of the quota benchmarks

Cause: Google Benchmark calls a benchmark several times, and each call started again at the same time, so that buckets were asked about their past and most loans were refused.

Change: the time goes on from call to call, and each measured request needs exactly one loan.

--- a/bench/quota_bench.cpp
+++ b/bench/quota_bench.cpp
@@ -250,10 +250,11 @@
     const auto key = quota::accountKey("big");
     auto& state = net.state(net.nodeOf(quota::holders(net.state(0), key).front()));
     Outbox outbox;
-    Context context { net.now() + std::chrono::hours(1000), outbox };
+    static auto now = net.now() + std::chrono::hours(1000); // goes on in the next run: time never turns back
+    Context context { now, outbox };
     RequestId id = 0;
     for (auto _ : run) { // NOLINT(clang-analyzer-deadcode.DeadStores): the idiom of Google Benchmark
-        context.now += 1us;
+        context.now = now += 1us;
         benchmark::DoNotOptimize(quota::acquire(state, key, ++id, oneToken, context.now, context));
     }
 }
@@ -269,11 +270,11 @@
     while (std::find(holders.begin(), holders.end(), net.state(node).self.process.vm) != holders.end())
         ++node;
     auto& borrower = net.state(node);
-    auto now = net.now() + std::chrono::hours(2000);
+    static auto now = net.now() + std::chrono::hours(2000);
     RequestId id = 1'000'000'000;
     std::size_t granted = 0;
     for (auto _ : run) { // NOLINT(clang-analyzer-deadcode.DeadStores): the idiom of Google Benchmark
-        now += 1ms;
+        now += 1s; // no prefetch at this rate: each request needs one loan
         Outbox outbox;
         Context context { now, outbox };
         benchmark::DoNotOptimize(quota::acquire(borrower, key, ++id, oneToken, now + 250ms, context));
