Make the quota failure tests sensitive to loans and share moves

Cause: three faults put into a scratch copy passed the tests: loans spent after their end, loans that take up no burst, and shares raised before the decrease was confirmed. Under a steady overload buckets are always empty, so that the extra tokens never met.

Change: pulses of more than a burst at a few or all entries after idle time, a check of the shares in use every 100 ms, and a directed test of loans under way with slow answers.

--- a/tests/core/quota_failure_test.cpp
+++ b/tests/core/quota_failure_test.cpp
@@ -25,6 +25,26 @@
     }
 }
 
+/// Leaves the buckets time to fill, then sends more than a burst at once: to a few entries, which must borrow, and
+/// within a round trip to others or to all. Loans under way and refilled buckets then meet.
+void offerPulses(Network& net, Random& random, Duration time)
+{
+    const auto end = net.now() + time;
+    for (const auto& it : accounts) {
+        for (auto t = net.now(); t < end; t += Duration(1'500'000 + random.below(1'500'000))) {
+            for (std::uint64_t wave = 0; wave < 3; ++wave) {
+                const auto start = t + Duration(random.below(120'000) * wave);
+                const auto places = random.below(2) == 0 ? net.size() : 1 + random.below(3);
+                const auto first = random.below(net.size());
+                for (std::size_t n = 0; n < static_cast<std::size_t>(it.burst * 1.5); ++n) {
+                    net.at(start,
+                        [&net, name = it.name, node = (first + n % places) % net.size()] { net.request(node, name); });
+                }
+            }
+        }
+    }
+}
+
 enum class Fault { Drop, Slow, Pause, Restart, Crash, Stop, CutRegion, StoreDown, LostAnswers, Last };
 
 void inject(Network& net, Random& random, Fault fault)
@@ -94,6 +114,20 @@
     return findExcess(net.admissions(account.name), account.rate, account.burst) != nullptr;
 }
 
+/// Runs on while the shares in use never exceed the grants, at any moment that is looked at.
+void runWithinGrants(Network& net, Duration time)
+{
+    const auto end = net.now() + time;
+    while (net.now() < end) {
+        net.runFor(100ms);
+        for (const auto& it : accounts) {
+            const auto [rate, burst] = net.shares(quota::accountKey(it.name));
+            ASSERT_LE(rate, static_cast<MicroTokens>(it.rate) * oneToken) << it.name;
+            ASSERT_LE(burst, static_cast<MicroTokens>(it.burst) * oneToken) << it.name;
+        }
+    }
+}
+
 void expectNoExcess(Network& net, std::uint64_t seed)
 {
     for (const auto& it : accounts) {
@@ -121,14 +155,17 @@
             Random random(seed);
             Network net(NetworkOptions { .seed = seed }, makeDocument(accounts));
             net.runFor(6s);
-            offer(net, random, 1 + random.unit() * 4, 50s);
+            if (seed % 2 == 0)
+                offer(net, random, 1 + random.unit() * 4, 50s);
+            else
+                offerPulses(net, random, 50s);
             net.runFor(2s);
             inject(net, random, static_cast<Fault>(first));
             if (second != first) {
                 net.runFor(Duration(random.below(3'000'000)));
                 inject(net, random, static_cast<Fault>(second));
             }
-            net.runFor(60s);
+            ASSERT_NO_FATAL_FAILURE(runWithinGrants(net, 60s)) << seed;
             ASSERT_NO_FATAL_FAILURE(expectNoExcess(net, seed));
         }
     }
@@ -141,7 +178,8 @@
         Random random(seed);
         Network net(NetworkOptions { .seed = seed, .nodesPerRegion = 4 }, makeDocument(accounts));
         net.runFor(5s);
-        offer(net, random, 1 + random.unit() * 4, 25s);
+        offer(net, random, random.unit() * 3, 25s);
+        offerPulses(net, random, 25s);
         for (int n = 0; n < 6; ++n) {
             net.runFor(Duration(random.below(5'000'000)));
             inject(net, random, static_cast<Fault>(random.below(static_cast<std::uint64_t>(Fault::Last))));
@@ -223,3 +261,28 @@
     net.runFor(10s);
     EXPECT_EQ(net.shares(quota), std::pair(120 * oneToken, 60 * oneToken));
 }
+
+// Guards against a lender whose bucket refills while its loans are under way: after slow answers the loans and the
+// refilled buckets would be spent together.
+TEST(QuotaFailure, LoansUnderWayTakeUpBurst)
+{
+    Network net(NetworkOptions { .seed = 15, .regionLatency = 100ms, .farLatency = 110ms }, makeDocument(accounts));
+    net.runFor(20s);
+    const auto holders = quota::holders(net.state(0), quota::accountKey("large"));
+    const std::set<VmId> holding(holders.begin(), holders.end());
+    for (int n = 0; n < 30; ++n) {
+        for (std::size_t node = 0; node < net.size(); ++node) {
+            if (!holding.contains(net.state(node).self.process.vm))
+                net.request(node, "large");
+        }
+    }
+    net.runFor(201ms);
+    for (int n = 0; n < 30; ++n) {
+        for (const auto& vm : holders)
+            net.request(net.nodeOf(vm), "large");
+    }
+    net.runFor(2s);
+    const auto admissions = net.admissions("large");
+    EXPECT_GT(admissions.size(), 60U);
+    EXPECT_EQ(findExcess(admissions, 300, 100), nullptr);
+}
