--- a/include/arbutuscrank/core/messages.hpp
+++ b/include/arbutuscrank/core/messages.hpp
@@ -133,10 +133,12 @@
 /// \brief State of a recorded request.
 enum class RecordState : std::uint8_t { New, Started, Complete, Unknown, NotRun };
 
-/// \brief Answers a \ref ReserveRequest; \ref RecordState::New means that the record was made now.
+/// \brief Answers a \ref ReserveRequest; \ref RecordState::New means that the record was made now, NotRun that none
+/// was made because the table is full.
 struct ReserveReply {
     std::uint64_t reservationId = 0;
     RecordState state = RecordState::New;
+    bool fullTable = false; ///< the sender has run for as long as records last, so no restart made it forget any
 };
 
 /// \brief Tells a record holder how the request ended. NotRun removes the record.
--- a/src/peer/codec_fields.hpp
+++ b/src/peer/codec_fields.hpp
@@ -129,6 +129,7 @@
 {
     archive("i", it.reservationId);
     archive("s", it.state);
+    archive("f", it.fullTable);
 }
 
 template <typename A> void fields(A& archive, RecordOutcome& it)
--- a/src/peer/incoming_request.cpp
+++ b/src/peer/incoming_request.cpp
@@ -31,6 +31,7 @@
         m_session.replaceStream(id, sender);
         m_session.openReverseSender(sender);
     } else if (m_path == messagePath && m_method == "POST") {
+        m_session.incomingBatches[id]; // later streams wait for this one from now on
         m_session.replaceStream(id, std::make_shared<IncomingMessages>(m_session));
     } else if (m_path == forwardPath && m_method == "POST") {
         m_session.replaceStream(id, std::make_shared<OwnerForward>(m_session, std::move(m_head)));
--- /dev/null
+++ b/tests/peer/codec_test.cpp
@@ -0,0 +1,269 @@
+#include <arbutuscrank/core/random.hpp>
+#include <arbutuscrank/peer/codec.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <tuple>
+
+namespace arbutuscrank {
+
+namespace {
+
+    // --- Members of each message: a new member does not compile until it is added here -------------------------------
+
+    auto members(ProcessId& m)
+    {
+        auto& [a, b] = m;
+        return std::tie(a, b);
+    }
+    auto members(ServiceLoad& m)
+    {
+        auto& [a, b, c, d] = m;
+        return std::tie(a, b, c, d);
+    }
+    auto members(Member& m)
+    {
+        auto& [a, b, c, d, e, f] = m;
+        return std::tie(a, b, c, d, e, f);
+    }
+    auto members(Heartbeat& m)
+    {
+        auto& [a, b, c, d, e] = m;
+        return std::tie(a, b, c, d, e);
+    }
+    auto members(Manifest& m)
+    {
+        auto& [a, b, c] = m;
+        return std::tie(a, b, c);
+    }
+    auto members(ManifestPush& m)
+    {
+        auto& [a, b] = m;
+        return std::tie(a, b);
+    }
+    auto members(PartRequest& m) { return std::tie(m.hashes); }
+    auto members(PartReply& m) { return std::tie(m.parts); }
+    auto members(LedgerHolder& m)
+    {
+        auto& [a, b, c, d, e] = m;
+        return std::tie(a, b, c, d, e);
+    }
+    auto members(LedgerEntry& m)
+    {
+        auto& [a, b, c] = m;
+        return std::tie(a, b, c);
+    }
+    auto members(Ledger& m)
+    {
+        auto& [a, b, c] = m;
+        return std::tie(a, b, c);
+    }
+    auto members(LedgerPush& m)
+    {
+        auto& [a] = m;
+        return std::tie(a);
+    }
+    auto members(ShareConfirm& m)
+    {
+        auto& [a, b] = m;
+        return std::tie(a, b);
+    }
+    auto members(LoanRequest& m)
+    {
+        auto& [a, b, c, d] = m;
+        return std::tie(a, b, c, d);
+    }
+    auto members(LoanReply& m)
+    {
+        auto& [a, b, c, d, e] = m;
+        return std::tie(a, b, c, d, e);
+    }
+    auto members(ReserveRequest& m)
+    {
+        auto& [a, b, c] = m;
+        return std::tie(a, b, c);
+    }
+    auto members(ReserveReply& m)
+    {
+        auto& [a, b, c] = m;
+        return std::tie(a, b, c);
+    }
+    auto members(RecordOutcome& m)
+    {
+        auto& [a, b, c, d] = m;
+        return std::tie(a, b, c, d);
+    }
+    auto members(OwnerQuery& m) { return std::tie(m.targets); }
+    auto members(OwnerReply& m) { return std::tie(m.inFlight); }
+    auto members(ProofRequest& m)
+    {
+        auto& [a, b] = m;
+        return std::tie(a, b);
+    }
+    auto members(ProofReply& m)
+    {
+        auto& [a, b, c, d, e, f, g, h, i] = m;
+        return std::tie(a, b, c, d, e, f, g, h, i);
+    }
+
+    // --- Random values -----------------------------------------------------------------------------------------------
+
+    class Filler {
+    public:
+        explicit Filler(std::uint64_t seed)
+            : m_random(seed)
+        {
+        }
+
+        void fill(std::string& value)
+        {
+            // Half of the texts look like a SHA-256, which has an encoding of its own.
+            const bool hash = m_random.below(2) == 0;
+            value.clear();
+            for (auto n = hash ? 64 : m_random.below(70); n > 0; --n)
+                value.push_back(hash ? "0123456789abcdef"[m_random.below(16)] : static_cast<char>(m_random.next()));
+        }
+        void fill(bool& value) { value = m_random.below(2) == 1; }
+        void fill(RecordState& value) { value = static_cast<RecordState>(m_random.below(5)); }
+        template <std::integral T> void fill(T& value)
+        {
+            value = m_random.below(4) == 0 ? T {} : static_cast<T>(m_random.next() >> m_random.below(64));
+        }
+        template <typename T> void fill(std::vector<T>& values)
+        {
+            values.resize(m_random.below(4));
+            for (auto& it : values)
+                fill(it);
+        }
+        template <typename T> void fill(std::map<std::string, T>& values)
+        {
+            for (auto n = m_random.below(4); n > 0; --n) {
+                std::string key;
+                fill(key);
+                fill(values[key]);
+            }
+        }
+        template <typename T> void fill(T& value)
+        {
+            std::apply([this](auto&... it) { (fill(it), ...); }, members(value));
+        }
+        template <std::size_t N = 0> PeerMessage message(std::size_t type)
+        {
+            std::variant_alternative_t<N, PeerMessage> value;
+            if constexpr (N + 1 < std::variant_size_v<PeerMessage>) {
+                if (type != N)
+                    return message<N + 1>(type);
+            }
+            fill(value);
+            return value;
+        }
+
+    private:
+        Random m_random;
+    };
+
+    template <typename T> bool same(T& a, T& b);
+    template <typename T> bool same(std::vector<T>& a, std::vector<T>& b)
+    {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](auto& x, auto& y) { return same(x, y); });
+    }
+    template <typename T> bool same(std::map<std::string, T>& a, std::map<std::string, T>& b)
+    {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+            [](auto& x, auto& y) { return x.first == y.first && same(x.second, y.second); });
+    }
+    template <typename T> bool same(T& a, T& b)
+    {
+        if constexpr (requires { members(a); }) {
+            return std::apply(
+                [&b](
+                    auto&... x) { return std::apply([&x...](auto&... y) { return (same(x, y) && ...); }, members(b)); },
+                members(a));
+        } else {
+            return a == b;
+        }
+    }
+
+    bool isProtocolError(std::span<const std::uint8_t> bytes)
+    {
+        const auto result = decodeMessage(bytes);
+        return !result && result.error().code == ErrorCode::Protocol;
+    }
+
+} // namespace
+
+RC_GTEST_PROP(PeerCodec, EveryMessageSurvivesTheRoundTrip, (std::uint64_t seed))
+{
+    for (std::size_t type = 0; type < std::variant_size_v<PeerMessage>; ++type) {
+        auto message = Filler(seed).message(type);
+        auto decoded = decodeMessage(encodeMessage(message));
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(decoded.value().index() == type);
+        RC_ASSERT(std::visit(
+            [&decoded](auto& it) { return same(it, std::get<std::decay_t<decltype(it)>>(decoded.value())); }, message));
+    }
+}
+
+RC_GTEST_PROP(PeerCodec, RandomBytesAreDecodedOrRejectedWithoutAnException, (const std::vector<std::uint8_t>& bytes))
+{
+    const auto result = decodeMessage(bytes);
+    RC_ASSERT(result.has_value() || result.error().code == ErrorCode::Protocol);
+}
+
+RC_GTEST_PROP(PeerCodec, DamagedMessagesAreDecodedOrRejectedWithoutAnException, (std::uint64_t seed))
+{
+    Random random(seed);
+    auto bytes = encodeMessage(Filler(seed).message(random.below(std::variant_size_v<PeerMessage>)));
+    bytes[random.below(bytes.size())] = static_cast<std::uint8_t>(random.next());
+    const auto result = decodeMessage(bytes);
+    RC_ASSERT(result.has_value() || result.error().code == ErrorCode::Protocol);
+}
+
+RC_GTEST_PROP(PeerCodec, EveryTruncationIsRejected, (std::uint64_t seed))
+{
+    const auto bytes = encodeMessage(Filler(seed).message(seed % std::variant_size_v<PeerMessage>));
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        RC_ASSERT(isProtocolError(std::span(bytes).first(n)));
+}
+
+TEST(PeerCodec, RejectsOtherVersionsTagsAndTypes)
+{
+    using nlohmann::json;
+    const auto rejects = [](const json& tree) { return isProtocolError(json::to_cbor(tree)); };
+    EXPECT_FALSE(rejects(json::array({ 1, 5, { { "s", 3 } } })));
+    EXPECT_TRUE(rejects(json::array({ 2, 5, { { "s", 3 } } }))) << "version";
+    EXPECT_TRUE(rejects(json::array({ 1, 15, json::object() }))) << "type tag";
+    EXPECT_TRUE(rejects(json::array({ 1, 5, { { "s", -3 } } }))) << "negative number";
+    EXPECT_TRUE(rejects(json::array({ 1, 5, { { "s", 1ULL << 32U } } }))) << "number too large for its field";
+    EXPECT_TRUE(rejects(json::array({ 1, 5, { { "s", "3" } } }))) << "text for a number";
+    EXPECT_TRUE(rejects(json::array({ 1, 5, { { "s", 3.0 } } }))) << "floating point number";
+    EXPECT_TRUE(rejects(json::array({ 1, 9, { { "s", 5 } } }))) << "record state out of range";
+    EXPECT_TRUE(rejects(json::array({ 1, 5, json::object(), 0 }))) << "extra element";
+    EXPECT_TRUE(rejects(json::array({ 1, 2, { { "h", { json::binary({ 1, 2 }) } } } }))) << "hash too short";
+    auto trailing = json::to_cbor(json::array({ 1, 5, { { "s", 3 } } }));
+    trailing.push_back(0);
+    EXPECT_TRUE(isProtocolError(trailing)) << "bytes after the message";
+    const std::vector<std::uint8_t> twice { 0x83, 1, 5, 0xa2, 0x61, 's', 3, 0x61, 's', 4 };
+    EXPECT_TRUE(isProtocolError(twice)) << "the same field twice";
+}
+
+// Guards against a stack overflow and against memory far beyond the size of the input.
+TEST(PeerCodec, RejectsDeepNestingHugeCountsAndOversizedInput)
+{
+    EXPECT_TRUE(isProtocolError(std::vector<std::uint8_t>(4U << 20U, 0x81))) << "arrays nested 4 million deep";
+    EXPECT_TRUE(isProtocolError(std::vector<std::uint8_t>(4U << 20U, 0xa1))) << "maps nested 4 million deep";
+    const std::vector<std::uint8_t> hugeArray { 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff };
+    EXPECT_TRUE(isProtocolError(hugeArray));
+    const std::vector<std::uint8_t> hugeText { 0x83, 1, 5, 0xa1, 0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff };
+    EXPECT_TRUE(isProtocolError(hugeText));
+    std::vector<std::uint8_t> many(4U << 20U, 0x00);
+    many[0] = 0x9f; // array of unknown length
+    many.back() = 0xff;
+    EXPECT_TRUE(isProtocolError(many)) << "millions of elements";
+    EXPECT_TRUE(isProtocolError(std::vector<std::uint8_t>((16U << 20U) + 1))) << "oversized";
+}
+
+} // namespace arbutuscrank
--- a/tests/peer/harness.hpp
+++ b/tests/peer/harness.hpp
@@ -156,11 +156,16 @@
                 body.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
                 if (consumeAtOnce && stream)
                     stream->consumed(bytes.size());
+                else if (consumeAtOnce)
+                    m_early += bytes.size();
             });
         };
         callbacks.onEnd = [this](ForwardEnd end) { monitor.update([&] { ends.push_back(std::move(end)); }); };
-        monitor.update(
-            [&] { stream = transport.forward(owner, std::move(head), std::move(requestBody), std::move(callbacks)); });
+        auto opened = transport.forward(owner, std::move(head), std::move(requestBody), std::move(callbacks));
+        monitor.update([&] {
+            stream = std::move(opened);
+            stream->consumed(m_early);
+        });
     }
 
     /// \brief Waits for the end.
@@ -171,6 +176,9 @@
         EXPECT_EQ(ends.size(), 1U);
         return ends.empty() ? ForwardEnd {} : ends.front();
     }
+
+private:
+    std::size_t m_early = 0; ///< bytes that came before the stream was known here
 };
 
 [[nodiscard]] inline ForwardHead postTo(std::string path)
