--- a/include/arbutuscrank/core/messages.hpp
+++ b/include/arbutuscrank/core/messages.hpp
@@ -36,7 +36,7 @@
 
 /// \brief Sent to each peer once a second, and at once when the sender starts to leave.
 struct Heartbeat {
-    Member sender;
+    Member sender; ///< region, failure domain and addresses are empty while the receiver knows them
     ManifestVersion manifestVersion = 0; ///< version in force at the sender
     std::int64_t freshAgeMicros = 0; ///< time since the sender knew that its version was current; negative if never
     std::vector<ServiceLoad> loads;
@@ -133,10 +133,12 @@
 /// \brief State of a recorded request.
 enum class RecordState : std::uint8_t { New, Started, Complete, Unknown, NotRun };
 
-/// \brief Answers a \ref ReserveRequest; \ref RecordState::New means that the record was made now.
+/// \brief Answers a \ref ReserveRequest; \ref RecordState::New means that the record was made now, NotRun that none
+/// was made because the table is full.
 struct ReserveReply {
     std::uint64_t reservationId = 0;
     RecordState state = RecordState::New;
+    bool fullTable = false; ///< the sender has run for as long as records last, so no restart made it forget any
 };
 
 /// \brief Tells a record holder how the request ended. NotRun removes the record.
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <set>
 #include <stdexcept>
@@ -133,7 +134,8 @@
         { "services",
             { { { "name", "kitty" }, { "pathPrefix", "/kitty/" }, { "openPathPrefixes", { "/kitty/public/" } },
                 { "slotsPerTarget", 6 }, { "connectionsPerTarget", 100 },
-                { "defaultTimeoutMs", shape.defaultTimeoutMs }, { "spill", nlohmann::json::array() }, { "targets", targets } } } },
+                { "defaultTimeoutMs", shape.defaultTimeoutMs }, { "spill", nlohmann::json::array() },
+                { "targets", targets } } } },
         { "links", nlohmann::json::array() }, { "shifts", nlohmann::json::array() },
         { "drains", nlohmann::json::array() },
         { "steering",
@@ -285,6 +287,16 @@
     return count;
 }
 
+std::string Cluster::logs() const
+{
+    std::string text = "\n";
+    for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        std::ifstream file(m_directory + "/vm-" + std::to_string(n) + ".log");
+        text.append(std::istreambuf_iterator<char>(file), {});
+    }
+    return text;
+}
+
 nlohmann::json Cluster::dump(std::size_t n) const
 {
     const auto answer = operate(n, "GET", "/v1/dump");
