--- a/include/arbutuscrank/core/requests.hpp
+++ b/include/arbutuscrank/core/requests.hpp
@@ -58,6 +58,8 @@
 
     /// Longest wait for a loan of quota tokens.
     inline constexpr Duration loanWait = std::chrono::milliseconds(250);
+    /// Longest wait for a loan of a region's quota while another region is left to try.
+    inline constexpr Duration regionLoanWait = std::chrono::milliseconds(10);
     /// Longest deadline that a caller may ask for.
     inline constexpr Duration maxTimeout = std::chrono::seconds(30);
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -107,6 +107,8 @@
 echo "demo: answer: $(curl -s "${auth[@]}" "http://$entry/kitty/balance?pool=7")"
 expect_status 200 "a pledge with an idempotency key" "${auth[@]}" -X POST -H "Idempotency-Key: pledge-1" \
     -d '{"pledge":5}' "http://$entry/kitty/pledges"
+expect_status 409 "the same pledge again at another entry" "${auth[@]}" -X POST -H "Idempotency-Key: pledge-1" \
+    -d '{"pledge":5}' "http://127.0.0.1:$((port_base + 103))/kitty/pledges"
 expect_status 200 "an open route without a key" "http://$entry/kitty/public/opening-hours"
 expect_status 401 "a keyed route without a key" "http://$entry/kitty/balance"
 curl -s "${auth[@]}" "http://$entry/kitty/bytes/1000000" | wc -c | grep -q '^ *1000000$' || fail "a large answer was cut"
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -116,7 +116,9 @@
         const auto& quotas = request.regions.front().quotas;
         while (request.nextQuota < quotas.size()) {
             const auto& [key, tokens] = quotas[request.nextQuota];
-            const auto waitUntil = std::min(request.deadline, context.now + loanWait);
+            // With another region left, waiting longer than a loan within the own region takes only adds latency.
+            const auto wait = request.regions.size() > 1 ? regionLoanWait : loanWait;
+            const auto waitUntil = std::min(request.deadline, context.now + wait);
             const auto decision = quota::acquire(state, key, id, tokens, waitUntil, context);
             if (decision.kind == quota::Decision::Kind::Waiting) {
                 request.phase = RequestPhase::RegionQuota;
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -2,7 +2,7 @@
 #include "daemon/caller_sink.hpp"
 #include "daemon/socket_finder.hpp"
 
-#include <arbutuscrank/core/keys.hpp>
+#include <arbutuscrank/core/state.hpp>
 
 #include <arpa/inet.h>
 #include <civetweb.h>
@@ -293,7 +293,13 @@
         return sink.refuse({ 503, "no-configuration", true, std::chrono::seconds(1), "no look-up table yet" });
     std::string body = R"({"entries":[)";
     bool first = true;
-    for (const auto* it : table->lookup(clientAddress(*info), {}, lookupEntries)) {
+    std::string account;
+    if (const auto key = presentedKey(*info); !key.empty()) {
+        const auto identity
+            = m_services.core.inspect([key](const State& state, TimePoint) { return keys::authenticate(state, key); });
+        account = identity ? identity->account : std::string();
+    }
+    for (const auto* it : table->lookup(clientAddress(*info), account, lookupEntries)) {
         body.append(first ? "" : ",").append(R"({"address":")").append(it->address);
         body.append(R"(","region":")").append(it->region).append(R"("})");
         first = false;
--- a/tests/core/idempotency_network_test.cpp
+++ b/tests/core/idempotency_network_test.cpp
@@ -47,9 +47,13 @@
             m_states[vm] = std::make_unique<State>(Self { { vm, ++m_incarnation }, "r", "d", "", "" }, m_incarnation);
             for (auto& [name, it] : m_states) {
                 for (auto& [otherName, other] : m_states) {
-                    if (name != otherName)
-                        it->membership.members[otherName] = { { other->self.process, "r", "d", "", "", false }, m_now,
-                            std::nullopt, false, false, 0 };
+                    if (name == otherName)
+                        continue;
+                    MemberRecord record;
+                    record.member = { other->self.process, "r", "d", "", "", false };
+                    record.lastHeard = m_now;
+                    record.suspected = false;
+                    it->membership.members[otherName] = std::move(record);
                 }
                 if (name != vm)
                     handle(name, [&](State& s, Context& c) {
