--- a/bench/request_path_bench.cpp
+++ b/bench/request_path_bench.cpp
@@ -86,6 +86,7 @@
     constexpr int perConnection = 10'000;
     std::atomic<int> answered { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(connections);
     const auto begin = Clock::now();
     for (int n = 0; n < connections; ++n) {
         threads.emplace_back([&] {
@@ -135,6 +136,7 @@
     constexpr int connections = 4;
     std::vector<std::vector<double>> samples(connections);
     std::vector<std::thread> threads;
+    threads.reserve(connections);
     const auto begin = Clock::now();
     const std::vector<std::string> headers { "Authorization: Bearer " + accountKey(account) };
     for (int n = 0; n < connections; ++n) {
@@ -165,6 +167,7 @@
     constexpr std::chrono::seconds length { 8 };
     std::array<std::vector<double>, quietAccounts + 1> samples;
     std::vector<std::thread> threads;
+    threads.reserve(quietAccounts + 1);
     for (int n = 0; n <= quietAccounts; ++n) {
         threads.emplace_back([&, n] {
             const double factor = n == quietAccounts ? loudFactor : 0.8;
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -159,7 +159,7 @@
             return action(*text);
         }
 
-        std::vector<std::string> changeHeaders() const
+        [[nodiscard]] std::vector<std::string> changeHeaders() const
         {
             const auto id = textOf(m_arguments, "--change-id");
             return { "X-Change-Id: " + (id.empty() ? drawChangeId() : id) };
--- a/src/daemon/forward_exchange.cpp
+++ b/src/daemon/forward_exchange.cpp
@@ -159,7 +159,7 @@
     const auto limit = AttemptControl::Clock::now() + left + ownerGrace;
     if (!control.attach([stream] { stream->cancel(); }, limit))
         stream->cancel();
-    const auto end = ForwardExchange(attempt, sink, control, answerStarted).run(*queue, *stream);
+    auto end = ForwardExchange(attempt, sink, control, answerStarted).run(*queue, *stream);
     control.detach();
     return end;
 }
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -32,8 +32,10 @@
     void addSummary(
         std::string& text, const std::string& name, const std::string& labelText, const LatencyHistogram& histogram)
     {
-        for (const double q : quantiles)
-            text += name + "{" + labelText + ",quantile=\"" + number(q) + "\"} " + number(histogram.quantile(q)) + "\n";
+        for (const double q : quantiles) {
+            text.append(name).append("{").append(labelText).append(",quantile=\"").append(number(q)).append("\"} ");
+            text.append(number(histogram.quantile(q))).append("\n");
+        }
         text += name + "_count{" + labelText + "} " + std::to_string(histogram.count()) + "\n";
         text += name + "_sum{" + labelText + "} " + number(histogram.sum()) + "\n";
     }
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -36,8 +36,7 @@
         void refuse(const Refusal& refusal) override
         {
             const auto outcome = refusal.certainlyNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Unknown;
-            const bool shed
-                = refusal.reason == "overloaded" || refusal.reason == "queue-full" || refusal.reason == "queue-timeout";
+            const bool shed = refusal.reason == "overloaded";
             end({ outcome, shed, refusal.retryAfter, refusal.reason + " " + refusal.detail });
         }
 
