Read the VM list less often in large fleets; give each test cluster its own ports

Cause: 1,800 daemons reading the list every 2 s are 900 calls a second, nearly half of what the store takes. A system test failed once to start because an outgoing connection had taken a port that a daemon was to listen on.

--- a/src/core/membership_detail.hpp
+++ b/src/core/membership_detail.hpp
@@ -26,6 +26,9 @@
 void sendHeartbeat(State& state, MemberRecord& record, Context& context);
 void sendHeartbeats(State& state, Context& context);
 
+/// \brief Pause between two calls for the VM list; grows with the fleet.
+[[nodiscard]] Duration timeToNextList(const State& state) noexcept;
+
 /// \brief Calls for the VM list if it is time and no call is open.
 void askForList(State& state, Context& context);
 
--- a/src/core/membership_sources.cpp
+++ b/src/core/membership_sources.cpp
@@ -15,6 +15,9 @@
     constexpr Duration lateAnswerTime = std::chrono::seconds(60);
     /// Pause between list calls.
     constexpr Duration listInterval = std::chrono::seconds(2);
+    /// Added for each known member, so that the reads of the whole fleet stay near 110 a second however large it is.
+    constexpr Duration listIntervalPerMember = std::chrono::milliseconds(8);
+
     /// A heartbeat that follows the one before within this time is a probe, which is answered at once.
     constexpr Duration probeGap = std::chrono::milliseconds(700);
     /// Shortest time between heartbeats to one member, probes and their answers included.
@@ -108,6 +111,11 @@
 
 } // namespace
 
+Duration detail::timeToNextList(const State& state) noexcept
+{
+    return listInterval + listIntervalPerMember * static_cast<std::int64_t>(state.membership.members.size());
+}
+
 // --- VM list ---------------------------------------------------------------------------------------------------------
 
 void onVmListRead(State& state, const VmListRead& event, Context& context)
@@ -118,7 +126,7 @@
     own.listOpen = false;
     own.listFailing = false;
     own.listReadAt = context.now;
-    own.nextList = context.now + listInterval;
+    own.nextList = context.now + detail::timeToNextList(state);
     std::set<std::string_view> listed;
     for (const auto& it : event.vms) {
         if (it.vm.empty())
@@ -141,7 +149,7 @@
 {
     auto& own = state.membership;
     own.listOpen = false;
-    own.nextList = context.now + listInterval;
+    own.nextList = context.now + detail::timeToNextList(state);
     if (!own.listFailing)
         context.log(LogEvent::VmListFailed, "detail=" + event.detail);
     own.listFailing = true;
--- a/src/core/membership_time.cpp
+++ b/src/core/membership_time.cpp
@@ -132,7 +132,9 @@
             message.sender = selfMember(state);
             record.introducedAt = now;
         }
-        std::size_t relayed = own.listFailing || now - own.listReadAt > listOutOfReach ? relayedPerHeartbeat : 0;
+        std::size_t relayed = own.listFailing || now - own.listReadAt > listOutOfReach + detail::timeToNextList(state)
+            ? relayedPerHeartbeat
+            : 0;
         if (introduce)
             relayed = std::max(relayed, newcomer ? relayedToNewcomer : relayedPerIntroduction);
         message.relayedMembers = someHeardMembers(state, relayed, record.member.process.vm);
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -23,26 +23,23 @@
 
     constexpr std::chrono::seconds callTimeout { 20 };
 
-    /// Addresses with ports that the kernel says are free. They are drawn together, so that all differ.
-    std::vector<std::string> freeAddresses(std::size_t count)
+    /// First port, size and number of the blocks of ports that clusters share. They lie below the range from which the
+    /// kernel takes ports for outgoing connections, which would now and then take one of a daemon's before it starts.
+    constexpr std::uint16_t firstPort = 10'000;
+    constexpr std::uint16_t portsPerBlock = 64;
+    constexpr std::uint16_t portBlocks = 150;
+
+    int bindPort(std::uint16_t port)
     {
-        std::vector<int> sockets;
-        std::vector<std::string> addresses;
-        for (std::size_t n = 0; n < count; ++n) {
-            sockaddr_in name {};
-            name.sin_family = AF_INET;
-            name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            socklen_t size = sizeof name;
-            const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-            sockets.push_back(fd);
-            if (bind(fd, reinterpret_cast<sockaddr*>(&name), size) != 0
-                || getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size) != 0)
-                throw std::runtime_error("no free port");
-            addresses.push_back("127.0.0.1:" + std::to_string(ntohs(name.sin_port)));
-        }
-        for (const int fd : sockets)
-            close(fd);
-        return addresses;
+        sockaddr_in name {};
+        name.sin_family = AF_INET;
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        name.sin_port = htons(port);
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0)
+            return fd;
+        close(fd);
+        return -1;
     }
 
     std::string program(const std::string& name) { return std::string(ARBUTUSCRANK_BUILD_DIR) + "/" + name; }
@@ -107,7 +104,7 @@
     m_directory = pattern;
     const auto daemonCount = shape.regions.size() * static_cast<std::size_t>(shape.vmsPerRegion);
     const auto targetCount = shape.regions.size() * static_cast<std::size_t>(shape.targetsPerRegion);
-    auto addresses = freeAddresses(1 + 3 * daemonCount + targetCount);
+    auto addresses = takePortBlock(1 + 3 * daemonCount + targetCount);
     const auto take = [&addresses](std::size_t count) {
         std::vector<std::string> taken(addresses.end() - static_cast<std::ptrdiff_t>(count), addresses.end());
         addresses.resize(addresses.size() - count);
@@ -152,10 +149,28 @@
     m_daemons.clear();
     m_targets.clear();
     m_platform.reset();
+    close(m_portLock);
     std::error_code ec;
     std::filesystem::remove_all(m_directory, ec);
 }
 
+std::vector<std::string> Cluster::takePortBlock(std::size_t count)
+{
+    if (count >= portsPerBlock)
+        throw std::runtime_error("too many ports");
+    for (int n = 0; n < portBlocks && m_portLock < 0; ++n) {
+        const auto base = static_cast<std::uint16_t>(firstPort + (getpid() + n) % portBlocks * portsPerBlock);
+        m_portLock = bindPort(base);
+        if (m_portLock < 0)
+            continue;
+        std::vector<std::string> addresses;
+        for (std::size_t k = 1; k <= count; ++k)
+            addresses.push_back("127.0.0.1:" + std::to_string(base + k));
+        return addresses;
+    }
+    throw std::runtime_error("no free block of ports");
+}
+
 std::string Cluster::regionOf(std::size_t n, int perRegion) const
 {
     return m_shape.regions.at(n / static_cast<std::size_t>(perRegion));
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -97,9 +97,12 @@
 
 private:
     [[nodiscard]] std::string regionOf(std::size_t n, int perRegion) const;
+    /// Addresses in a block of ports that no other cluster on this machine uses.
+    [[nodiscard]] std::vector<std::string> takePortBlock(std::size_t count);
     void publishVms() const;
 
     ClusterShape m_shape;
+    int m_portLock = -1; ///< bound to the first port of the block as long as the cluster lives
     std::string m_directory;
     std::string m_platformAddress;
     std::vector<std::string> m_callerAddresses;
