--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -64,6 +64,7 @@
     [[nodiscard]] std::size_t daemons() const noexcept { return m_daemons.size(); }
     [[nodiscard]] std::size_t targets() const noexcept { return m_targets.size(); }
     [[nodiscard]] const std::string& callerAddress(std::size_t n) const { return m_callerAddresses.at(n); }
+    [[nodiscard]] const std::string& adminAddress(std::size_t n) const { return m_adminAddresses.at(n); }
     [[nodiscard]] const std::string& targetAddress(std::size_t n) const { return m_targetAddresses.at(n); }
 
     /// \brief A caller's request to daemon \p n, on a connection of its own.
--- a/tests/system/request_path_system_test.cpp
+++ b/tests/system/request_path_system_test.cpp
@@ -144,6 +144,30 @@
         EXPECT_EQ(statusOf(cluster.request(n, "GET", "/kitty/x")), 401);
 }
 
+// Guards against operators' calls without the key, a document that is half accepted, and a page that shows data.
+TEST(OperatorInterface, RefusesWithoutKeyAndListsEveryFault)
+{
+    Cluster cluster({ { "caerdydd" }, 1, 1 });
+    ASSERT_TRUE(cluster.start());
+    HttpClient stranger(cluster.adminAddress(0));
+    EXPECT_EQ(statusOf(stranger.request("GET", "/v1/config", {}, {}, std::chrono::seconds(10))), 401);
+    const auto page = stranger.request("GET", "/", {}, {}, std::chrono::seconds(10));
+    ASSERT_EQ(statusOf(page), 200);
+    EXPECT_NE(page.value().body.find("data-list=\"accounts\""), std::string::npos);
+    EXPECT_EQ(page.value().body.find("acme"), std::string::npos);
+
+    auto broken = cluster.document;
+    broken["accounts"][0]["ratePerSecond"] = -1;
+    broken["services"][0]["unknownField"] = true;
+    const auto refused = cluster.operate(0, "PUT", "/v1/config", { "If-Match: 1" }, broken.dump());
+    ASSERT_EQ(statusOf(refused), 422);
+    EXPECT_EQ(nlohmann::json::parse(refused.value().body).at("faults").size(), 2U);
+    EXPECT_EQ(statusOf(cluster.operate(0, "PUT", "/v1/config", {}, cluster.document.dump())), 428);
+    const auto current = cluster.operate(0, "GET", "/v1/config");
+    ASSERT_EQ(statusOf(current), 200);
+    EXPECT_EQ(nlohmann::json::parse(current.value().body).at("version"), 1);
+}
+
 // Guards against a planned stop that cuts a request in flight.
 TEST(RequestPath, GracefulStopFinishesRequestsInFlight)
 {
