Give header look-up, change ids and answer checks one place each

Change: findHeader in civetweb_headers.hpp, one default for the change id where a call is read, statusOf and outcomeOf in the cluster harness. Behaviour is unchanged.

--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -3,6 +3,7 @@
 #include "daemon/caller_sink.hpp"
 #include "daemon/incoming_request.hpp"
 #include "daemon/state_dump.hpp"
+#include "daemon/civetweb_headers.hpp"
 
 #include <arbutuscrank/config.hpp>
 
@@ -32,15 +33,6 @@
     /// Attempts of an edit that loses races against other operators.
     constexpr int editAttempts = 5;
 
-    std::string_view header(const mg_request_info& info, std::string_view name)
-    {
-        for (int n = 0; n < info.num_headers; ++n) {
-            if (equalsIgnoringCase(info.http_headers[n].name, name))
-                return info.http_headers[n].value;
-        }
-        return {};
-    }
-
     std::string drawChangeId()
     {
         std::random_device random;
@@ -167,7 +159,7 @@
 
 bool AdminServer::isAuthorized(const mg_request_info& info) const
 {
-    const auto authorization = header(info, "Authorization");
+    const auto authorization = findHeader(info, "Authorization");
     if (!authorization.starts_with(bearerPrefix))
         return false;
     const auto digest = sha256Hex(authorization.substr(bearerPrefix.size()));
@@ -179,7 +171,9 @@
 {
     const auto* info = mg_get_request_info(connection);
     Request request { info->request_method, info->local_uri, readBody(connection),
-        std::string(header(*info, "If-Match")), std::string(header(*info, "X-Change-Id")) };
+        std::string(findHeader(*info, "If-Match")), std::string(findHeader(*info, "X-Change-Id")) };
+    if (request.method != "GET" && request.changeId.empty())
+        request.changeId = drawChangeId();
     Answer result;
     // The page of forms holds no data; it asks for the key and sends it with each call.
     if (request.method == "GET" && request.path == "/")
@@ -217,7 +211,6 @@
 
 AdminServer::Answer AdminServer::answerChange(const Request& request)
 {
-    const auto changeId = request.changeId.empty() ? drawChangeId() : request.changeId;
     if (request.path == "/v1/config" && request.method == "PUT")
         return replaceConfiguration(request);
     if (request.path == "/v1/config/validate" && request.method == "POST")
@@ -234,8 +227,8 @@
         name.resize(name.size() - withdraw.size());
         const auto keys = name.find("/keys/");
         if (keys != std::string::npos)
-            return withdrawKey(name.substr(0, keys), name.substr(keys + std::string_view("/keys/").size()), changeId);
-        return withdrawAccount(name, changeId);
+            return withdrawKey(name.substr(0, keys), name.substr(keys + std::string_view("/keys/").size()), request.changeId);
+        return withdrawAccount(name, request.changeId);
     }
     return { 404, text({ { "error", "not-found" }, { "detail", request.method + " " + request.path } }) };
 }
@@ -267,11 +260,10 @@
     const auto parsed = parseDocument(request.body);
     if (const auto* faults = std::get_if<std::vector<Fault>>(&parsed))
         return { 422, text({ { "error", "invalid-document" }, { "faults", toTree(*faults) } }) };
-    const auto changeId = request.changeId.empty() ? drawChangeId() : request.changeId;
-    const auto applied = m_writer.apply(std::get<Document>(parsed), expected, changeId);
+    const auto applied = m_writer.apply(std::get<Document>(parsed), expected, request.changeId);
     if (!applied)
         return { statusOf(applied.error().code), errorText(applied.error()) };
-    return { 200, text({ { "version", applied.value() }, { "changeId", changeId } }) };
+    return { 200, text({ { "version", applied.value() }, { "changeId", request.changeId } }) };
 }
 
 AdminServer::Answer AdminServer::validateDocument(const Request& request) const
@@ -352,8 +344,7 @@
         return { 422, errorText(invalid("kind: target, vm, failureDomain, region or site; name: not empty")) };
     const Drain drain { *kind, field(tree, "name") };
     const bool remove = request.method == "DELETE";
-    const auto changeId = request.changeId.empty() ? drawChangeId() : request.changeId;
-    return edit(changeId, [&drain, remove](Document& document) -> Result<void> {
+    return edit(request.changeId, [&drain, remove](Document& document) -> Result<void> {
         std::erase(document.drains, drain);
         if (!remove)
             document.drains.push_back(drain);
@@ -376,8 +367,7 @@
     shift.stepPercent = numberField(tree, "stepPercent", shift.stepPercent);
     shift.stepSeconds = numberField(tree, "stepSeconds", shift.stepSeconds);
     const bool remove = request.method == "DELETE";
-    const auto changeId = request.changeId.empty() ? drawChangeId() : request.changeId;
-    return edit(changeId, [&shift, remove](Document& document) -> Result<void> {
+    return edit(request.changeId, [&shift, remove](Document& document) -> Result<void> {
         std::erase_if(document.shifts, [&shift](const Shift& it) { return it.name == shift.name; });
         if (!remove)
             document.shifts.push_back(shift);
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_server.hpp"
 #include "daemon/caller_sink.hpp"
 #include "daemon/socket_finder.hpp"
+#include "daemon/civetweb_headers.hpp"
 
 #include <arbutuscrank/core/state.hpp>
 
@@ -22,22 +23,13 @@
 
     // --- Reading a request -------------------------------------------------------------------------------------------
 
-    std::string_view header(const mg_request_info& info, std::string_view name)
-    {
-        for (int n = 0; n < info.num_headers; ++n) {
-            if (equalsIgnoringCase(info.http_headers[n].name, name))
-                return info.http_headers[n].value;
-        }
-        return {};
-    }
-
     std::string_view presentedKey(const mg_request_info& info)
     {
-        const auto authorization = header(info, "Authorization");
+        const auto authorization = findHeader(info, "Authorization");
         if (authorization.size() > bearerPrefix.size()
             && equalsIgnoringCase(authorization.substr(0, bearerPrefix.size()), bearerPrefix))
             return authorization.substr(bearerPrefix.size());
-        return header(info, "X-Api-Key");
+        return findHeader(info, "X-Api-Key");
     }
 
     bool isIdempotentMethod(std::string_view method)
@@ -77,14 +69,14 @@
         arrival.method = info.request_method;
         arrival.path = info.local_uri;
         arrival.key = presentedKey(info);
-        arrival.idempotencyKey = header(info, "Idempotency-Key");
+        arrival.idempotencyKey = findHeader(info, "Idempotency-Key");
         arrival.idempotent = isIdempotentMethod(arrival.method);
-        if (const auto mark = header(info, "X-Idempotent"); !mark.empty()) {
+        if (const auto mark = findHeader(info, "X-Idempotent"); !mark.empty()) {
             if (mark != "true" && mark != "false")
                 return BadHeader { "X-Idempotent", "true or false", std::string(mark) };
             arrival.idempotent = mark == "true";
         }
-        if (const auto text = header(info, "X-Request-Timeout-Ms"); !text.empty()) {
+        if (const auto text = findHeader(info, "X-Request-Timeout-Ms"); !text.empty()) {
             std::int64_t milliseconds = 0;
             const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
             if (ec != std::errc {} || end != text.data() + text.size() || milliseconds < 1 || milliseconds > 30'000)
--- a/src/daemon/target_client.cpp
+++ b/src/daemon/target_client.cpp
@@ -1,4 +1,5 @@
 #include "daemon/target_client.hpp"
+#include "daemon/civetweb_headers.hpp"
 #include "daemon/core_runner.hpp"
 
 #include <civetweb.h>
@@ -34,15 +35,6 @@
         return text;
     }
 
-    std::string_view responseHeader(const mg_response_info& info, std::string_view name)
-    {
-        for (int n = 0; n < info.num_headers; ++n) {
-            if (equalsIgnoringCase(info.http_headers[n].name, name))
-                return info.http_headers[n].value;
-        }
-        return {};
-    }
-
     template <typename T> std::optional<T> parseNumber(std::string_view text)
     {
         T value {};
@@ -54,7 +46,7 @@
 
     std::optional<double> loadOf(const mg_response_info& info)
     {
-        const auto load = parseNumber<double>(responseHeader(info, "X-Load"));
+        const auto load = parseNumber<double>(findHeader(info, "X-Load"));
         if (!load || !(*load >= 0 && *load <= 1))
             return std::nullopt;
         return load;
@@ -63,7 +55,7 @@
     bool isDocumentedRefusal(const mg_response_info& info)
     {
         return (info.status_code == statusUnavailable || info.status_code == statusTooManyRequests)
-            && responseHeader(info, "X-Not-Run") == "1";
+            && findHeader(info, "X-Not-Run") == "1";
     }
 
     bool hasNoBody(const mg_response_info& info, std::string_view method)
@@ -73,7 +65,7 @@
 
     bool isChunked(const mg_response_info& info)
     {
-        return equalsIgnoringCase(responseHeader(info, "Transfer-Encoding"), "chunked");
+        return equalsIgnoringCase(findHeader(info, "Transfer-Encoding"), "chunked");
     }
 
     HeaderList callerHeaders(const mg_response_info& info)
@@ -153,7 +145,7 @@
         {
             m_end.outcome = AttemptOutcome::NotRun;
             m_end.shed = true;
-            const auto seconds = parseNumber<std::int64_t>(responseHeader(info, "Retry-After"));
+            const auto seconds = parseNumber<std::int64_t>(findHeader(info, "Retry-After"));
             if (seconds && *seconds >= 0 && *seconds <= 3600)
                 m_end.retryAfter = std::chrono::seconds(*seconds);
             m_end.detail
@@ -174,7 +166,7 @@
             std::optional<std::uint64_t> length;
             if (info.content_length >= 0)
                 length = static_cast<std::uint64_t>(info.content_length);
-            const bool close = equalsIgnoringCase(responseHeader(info, "Connection"), "close");
+            const bool close = equalsIgnoringCase(findHeader(info, "Connection"), "close");
             m_answerStarted();
             m_end.answerStarted = true;
             if (!m_sink.start(info.status_code, callerHeaders(info), noBody && !length ? 0 : length))
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -93,6 +93,13 @@
     return true;
 }
 
+int statusOf(const Result<HttpAnswer>& answer) { return answer ? answer.value().status : 0; }
+
+std::string outcomeOf(const Result<HttpAnswer>& answer)
+{
+    return answer ? std::string(answer.value().header("X-Request-Outcome")) : "no answer";
+}
+
 // --- Cluster ---------------------------------------------------------------------------------------------------------
 
 Cluster::Cluster(const ClusterShape& shape)
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -36,6 +36,12 @@
 [[nodiscard]] bool eventually(
     const std::function<bool()>& condition, std::chrono::seconds limit = std::chrono::seconds(30));
 
+/// \brief Status of an answer; 0 if there is none.
+[[nodiscard]] int statusOf(const Result<HttpAnswer>& answer);
+
+/// \brief X-Request-Outcome of an answer.
+[[nodiscard]] std::string outcomeOf(const Result<HttpAnswer>& answer);
+
 /// \brief Shape of a \ref Cluster.
 struct ClusterShape {
     std::vector<std::string> regions { "caerdydd", "bangor", "aberyst" };
--- a/tests/system/request_path_failure_test.cpp
+++ b/tests/system/request_path_failure_test.cpp
@@ -16,13 +16,6 @@
 
 namespace {
 
-std::string outcomeOf(const Result<HttpAnswer>& answer)
-{
-    return answer ? std::string(answer.value().header("X-Request-Outcome")) : "no answer";
-}
-
-int statusOf(const Result<HttpAnswer>& answer) { return answer ? answer.value().status : 0; }
-
 std::string ownerOf(const Cluster& cluster, std::size_t n, const std::string& target)
 {
     const auto tree = cluster.dump(n);
--- a/tests/system/request_path_system_test.cpp
+++ b/tests/system/request_path_system_test.cpp
@@ -8,17 +8,6 @@
 using namespace arbutuscrank;
 using namespace arbutuscrank::tests;
 
-namespace {
-
-std::string outcomeOf(const Result<HttpAnswer>& answer)
-{
-    return answer ? std::string(answer.value().header("X-Request-Outcome")) : "no answer";
-}
-
-int statusOf(const Result<HttpAnswer>& answer) { return answer ? answer.value().status : 0; }
-
-} // namespace
-
 // Guards against a key that reaches a target, an account that a caller can choose, and a broken request path.
 TEST(RequestPath, AnswersThroughEveryEntryWithoutShowingTheKey)
 {
