--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -1,9 +1,9 @@
 #include "daemon/admin_server.hpp"
 #include "daemon/admin_page.hpp"
 #include "daemon/caller_sink.hpp"
+#include "daemon/civetweb_headers.hpp"
 #include "daemon/incoming_request.hpp"
 #include "daemon/state_dump.hpp"
-#include "daemon/civetweb_headers.hpp"
 
 #include <arbutuscrank/config.hpp>
 
@@ -227,7 +227,8 @@
         name.resize(name.size() - withdraw.size());
         const auto keys = name.find("/keys/");
         if (keys != std::string::npos)
-            return withdrawKey(name.substr(0, keys), name.substr(keys + std::string_view("/keys/").size()), request.changeId);
+            return withdrawKey(
+                name.substr(0, keys), name.substr(keys + std::string_view("/keys/").size()), request.changeId);
         return withdrawAccount(name, request.changeId);
     }
     return { 404, text({ { "error", "not-found" }, { "detail", request.method + " " + request.path } }) };
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -1,7 +1,7 @@
 #include "daemon/caller_server.hpp"
 #include "daemon/caller_sink.hpp"
-#include "daemon/socket_finder.hpp"
 #include "daemon/civetweb_headers.hpp"
+#include "daemon/socket_finder.hpp"
 
 #include <arbutuscrank/core/state.hpp>
 
