Rename the store port from platform to store

Cause: the adapter for the users' platform is to live in platform/ at the root, and two folders of that name are easy to confuse. No behaviour changes.

--- a/include/arbutuscrank/platform/configuration_writer.hpp
+++ b/include/arbutuscrank/store/configuration_writer.hpp
@@ -2,7 +2,7 @@
 
 #include <arbutuscrank/config/document.hpp>
 #include <arbutuscrank/core/messages.hpp>
-#include <arbutuscrank/platform/platform.hpp>
+#include <arbutuscrank/store/store.hpp>
 
 #include <cstddef>
 #include <string_view>
--- a/include/arbutuscrank/platform/http_platform.hpp
+++ b/include/arbutuscrank/store/http_platform.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <arbutuscrank/platform/platform.hpp>
+#include <arbutuscrank/store/store.hpp>
 
 #include <memory>
 #include <string>
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,7 +1,7 @@
 #include "cli/command_line.hpp"
 
 #include <arbutuscrank/config.hpp>
-#include <arbutuscrank/platform/http_client.hpp>
+#include <arbutuscrank/store/http_client.hpp>
 
 #include <docopt/docopt.h>
 #include <nlohmann/json.hpp>
--- a/src/daemon/admin_server.hpp
+++ b/src/daemon/admin_server.hpp
@@ -3,8 +3,8 @@
 #include "daemon/core_runner.hpp"
 #include "daemon/metrics.hpp"
 
-#include <arbutuscrank/platform/configuration_writer.hpp>
-#include <arbutuscrank/platform/platform.hpp>
+#include <arbutuscrank/store/configuration_writer.hpp>
+#include <arbutuscrank/store/store.hpp>
 
 #include <condition_variable>
 #include <functional>
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -12,7 +12,7 @@
 #include "daemon/target_client.hpp"
 #include "daemon/timer_service.hpp"
 
-#include <arbutuscrank/platform/http_platform.hpp>
+#include <arbutuscrank/store/http_platform.hpp>
 
 #include <condition_variable>
 #include <memory>
--- a/src/daemon/platform_executor.hpp
+++ b/src/daemon/platform_executor.hpp
@@ -3,7 +3,7 @@
 #include "daemon/task_queue.hpp"
 
 #include <arbutuscrank/core/effects.hpp>
-#include <arbutuscrank/platform/platform.hpp>
+#include <arbutuscrank/store/store.hpp>
 
 #include <functional>
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,6 +1,6 @@
 #include "daemon/settings.hpp"
 
-#include <arbutuscrank/platform/http_client.hpp>
+#include <arbutuscrank/store/http_client.hpp>
 
 #include <docopt/docopt.h>
 
--- a/src/daemon/target_connections.cpp
+++ b/src/daemon/target_connections.cpp
@@ -1,7 +1,7 @@
 #include "daemon/target_connections.hpp"
 #include "daemon/socket_finder.hpp"
 
-#include <arbutuscrank/platform/http_client.hpp>
+#include <arbutuscrank/store/http_client.hpp>
 
 #include <civetweb.h>
 #include <netinet/in.h>
--- a/src/platform/configuration_writer.cpp
+++ b/src/store/configuration_writer.cpp
@@ -1,4 +1,4 @@
-#include <arbutuscrank/platform/configuration_writer.hpp>
+#include <arbutuscrank/store/configuration_writer.hpp>
 
 #include <arbutuscrank/config/codec.hpp>
 #include <arbutuscrank/config/validate.hpp>
--- a/src/platform/http_client.cpp
+++ b/src/store/http_client.cpp
@@ -1,4 +1,4 @@
-#include <arbutuscrank/platform/http_client.hpp>
+#include <arbutuscrank/store/http_client.hpp>
 
 #include <arpa/inet.h>
 #include <civetweb.h>
--- a/src/platform/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -1,5 +1,5 @@
-#include <arbutuscrank/platform/http_client.hpp>
-#include <arbutuscrank/platform/http_platform.hpp>
+#include <arbutuscrank/store/http_client.hpp>
+#include <arbutuscrank/store/http_platform.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/tests/platform/configuration_writer_failure_test.cpp
+++ b/tests/store/configuration_writer_failure_test.cpp
@@ -1,7 +1,7 @@
 #include "config/sample_document.hpp"
 
 #include <arbutuscrank/core/manifest_codec.hpp>
-#include <arbutuscrank/platform.hpp>
+#include <arbutuscrank/store.hpp>
 
 #include <gtest/gtest.h>
 
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <arbutuscrank/platform/http_client.hpp>
+#include <arbutuscrank/store/http_client.hpp>
 
 #include <nlohmann/json.hpp>
 
