--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 PACKAGES = curl g++ cmake ninja-build ccache clang-format clang-tidy libcivetweb-dev libnghttp2-dev libboost-dev \
 	libdocopt-dev libspdlog-dev librapidcheck-dev nlohmann-json3-dev libssl-dev libgtest-dev libbenchmark-dev \
-	libxxhash-dev
+	libxxhash-dev libtomlplusplus-dev
 
 .PHONY: all install build format format-check tidy test check demo bench clean
 
--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -16,6 +16,8 @@
     StopCompleted = 102,
     StopForced = 103,
     SettingsRefused = 104,
+    SettingsReloaded = 105,
+    LogLinesDropped = 106,
     // 2xx: configuration
     ConfigurationApplied = 200,
     ConfigurationRefused = 201,
@@ -45,11 +47,16 @@
     TargetHealthy = 503,
     TargetDraining = 504,
     TargetDrained = 505,
+    EvacuationApplied = 506,
     // 6xx: requests
     RequestRefused = 600,
     RequestOutcomeUnknown = 601,
     AnswerCutShort = 602,
     RequestCancelled = 603,
+    AttemptSent = 604,
+    AttemptAnswered = 605,
+    AttemptFailed = 606,
+    RequestAnswered = 607,
     // 7xx: steering
     PlanApplied = 700,
     ShiftStepped = 701,
@@ -62,6 +69,8 @@
     StoreFailed = 900,
     StoreRecovered = 901,
     PeerProtocolError = 902,
+    StoreEntryRefused = 903,
+    StoreCallFailed = 904,
 };
 
 /// \brief Name of a log event, as in the catalogue.
--- /dev/null
+++ b/include/arbutuscrank/entry.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+/// \file
+/// \brief Umbrella header of the entry's decisions.
+
+#include <arbutuscrank/entry/effects.hpp>
+#include <arbutuscrank/entry/events.hpp>
+#include <arbutuscrank/entry/members.hpp>
+#include <arbutuscrank/entry/quota_sharing.hpp>
+#include <arbutuscrank/entry/retry_limit.hpp>
+#include <arbutuscrank/entry/settings.hpp>
+#include <arbutuscrank/entry/state.hpp>
+#include <arbutuscrank/entry/target_health.hpp>
+#include <arbutuscrank/entry/target_selection.hpp>
+#include <arbutuscrank/entry/targets.hpp>
+#include <arbutuscrank/entry/traffic_policy.hpp>
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -15,6 +15,10 @@
         return "stop-forced";
     case LogEvent::SettingsRefused:
         return "settings-refused";
+    case LogEvent::SettingsReloaded:
+        return "settings-reloaded";
+    case LogEvent::LogLinesDropped:
+        return "log-lines-dropped";
     case LogEvent::ConfigurationApplied:
         return "configuration-applied";
     case LogEvent::ConfigurationRefused:
@@ -65,6 +69,8 @@
         return "target-draining";
     case LogEvent::TargetDrained:
         return "target-drained";
+    case LogEvent::EvacuationApplied:
+        return "evacuation-applied";
     case LogEvent::RequestRefused:
         return "request-refused";
     case LogEvent::RequestOutcomeUnknown:
@@ -73,6 +79,14 @@
         return "answer-cut-short";
     case LogEvent::RequestCancelled:
         return "request-cancelled";
+    case LogEvent::AttemptSent:
+        return "attempt-sent";
+    case LogEvent::AttemptAnswered:
+        return "attempt-answered";
+    case LogEvent::AttemptFailed:
+        return "attempt-failed";
+    case LogEvent::RequestAnswered:
+        return "request-answered";
     case LogEvent::PlanApplied:
         return "plan-applied";
     case LogEvent::ShiftStepped:
@@ -91,6 +105,10 @@
         return "store-recovered";
     case LogEvent::PeerProtocolError:
         return "peer-protocol-error";
+    case LogEvent::StoreEntryRefused:
+        return "store-entry-refused";
+    case LogEvent::StoreCallFailed:
+        return "store-call-failed";
     }
     return "unknown";
 }
--- a/src/daemon/admin_server.hpp
+++ b/src/daemon/admin_server.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "daemon/core_runner.hpp"
-#include "daemon/metrics.hpp"
+#include "telemetry/metrics.hpp"
 
 #include <arbutuscrank/store/configuration_writer.hpp>
 #include <arbutuscrank/store/store.hpp>
--- a/src/daemon/caller_server.hpp
+++ b/src/daemon/caller_server.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/metrics.hpp"
 #include "daemon/request_session.hpp"
+#include "telemetry/metrics.hpp"
 
 #include <arbutuscrank/core/lookup_table.hpp>
 
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -3,14 +3,14 @@
 #include "daemon/admin_server.hpp"
 #include "daemon/caller_server.hpp"
 #include "daemon/core_runner.hpp"
-#include "daemon/log.hpp"
-#include "daemon/metrics.hpp"
 #include "daemon/peer_service.hpp"
 #include "daemon/platform_executor.hpp"
 #include "daemon/request_session.hpp"
 #include "daemon/settings.hpp"
 #include "daemon/target_client.hpp"
 #include "daemon/timer_service.hpp"
+#include "telemetry/log.hpp"
+#include "telemetry/metrics.hpp"
 
 #include <arbutuscrank/store/http_platform.hpp>
 
--- a/src/daemon/peer_service.hpp
+++ b/src/daemon/peer_service.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "daemon/log.hpp"
 #include "daemon/request_session.hpp"
 #include "daemon/task_queue.hpp"
+#include "telemetry/log.hpp"
 
 #include <arbutuscrank/peer/transport.hpp>
 
--- /dev/null
+++ b/src/entry/attempts.cpp
@@ -0,0 +1,305 @@
+#include "entry/attempts.hpp"
+
+#include <arbutuscrank/entry/target_health.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace arbutuscrank::entry {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Weight of one answer in a route's usual duration.
+    constexpr double durationWeight = 0.05;
+    /// An attempt that takes longer than usual by this factor gets a second one beside it. A target that has to load
+    /// an object first takes up to 3.3 times as long as one that has it.
+    constexpr double hedgeFactor = 4.0;
+    constexpr Duration minHedgeDelay = milliseconds(250);
+    /// Time that must be left for a repeated attempt, as a multiple of the route's usual duration.
+    constexpr double minTimeLeftFactor = 0.8;
+    /// Connections are opened within a round trip between regions, also when the first packet is lost.
+    constexpr Duration connectTimeout = milliseconds(700);
+    /// Retry-After of a refusal for want of room: targets free a slot within a few hundred milliseconds.
+    constexpr Duration minRetryAfter = milliseconds(150);
+    constexpr Duration retryAfterSpread = milliseconds(450);
+    /// Load per slot up to which requests are sent to a target that has to queue them, by rank of the request.
+    constexpr double importantMaxLoad = 2.0;
+    constexpr double normalMaxLoad = 1.6;
+    /// Rank from which a request counts as important.
+    constexpr std::uint32_t importantPriority = 1;
+
+    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+    Duration usualDuration(const EntryState& state, const Request& request)
+    {
+        const auto it = state.durations.find(request.route);
+        const double usual = it == state.durations.end() ? 0 : it->second.seconds;
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(usual));
+    }
+
+    void logEjection(const Target& target, Effects& out)
+    {
+        const bool back = target.ejection == Ejection::None;
+        out.push_back(WriteLog { back ? LogEvent::TargetHealthy : LogEvent::TargetUnhealthy,
+            fmt::format("target={} state={} failure_share={:.2f} slowness={:.1f} ejections={}", target.record.id,
+                toString(target.ejection), target.failureShare, target.slowness, target.ejections) });
+    }
+
+    /// Removes an attempt from its request and its target. Returns the target if it is still known.
+    Target* release(EntryState& state, const Attempt& attempt)
+    {
+        auto* target = state.targets.find(attempt.target);
+        if (!target)
+            return nullptr;
+        if (target->inFlight > 0)
+            --target->inFlight;
+        if (attempt.trial)
+            target->trialInFlight = false;
+        return target;
+    }
+
+    Choice chooseTarget(EntryState& state, const Request& request, TimePoint now)
+    {
+        const Placement placement {
+            .service = request.service,
+            .affinity = request.affinity,
+            .routeRegions = &request.routeRegions,
+            .accountRegions = &request.accountRegions,
+            .tried = &request.tried,
+            .idempotent = request.idempotent,
+            .maxLoad = request.priority <= importantPriority ? importantMaxLoad : normalMaxLoad,
+        };
+        return state.selection.choose(state.targets, placement, now);
+    }
+
+    void send(EntryState& state, RequestId id, Request& request, const Choice& choice, TimePoint now, Effects& out)
+    {
+        auto& target = *choice.target;
+        ++target.inFlight;
+        if (choice.trial)
+            target.trialInFlight = true;
+        if (target.isCold(now))
+            (void)target.coldBucket.trySpend(oneToken, now); // choose() has seen a token
+        const auto attempt = ++state.lastAttempt;
+        request.attempts.emplace(attempt, Attempt { target.record.id, now, choice.trial });
+        request.tried.push_back(target.record.id);
+        ++request.attemptsSent;
+        out.push_back(SendAttempt {
+            .request = id,
+            .attempt = attempt,
+            .target = target.record.id,
+            .address = target.record.address,
+            .account = request.account,
+            .deadline = request.deadline,
+            .connectTimeout = connectTimeout,
+            .atMostOnce = !request.idempotent,
+        });
+        out.push_back(WriteLog { LogEvent::AttemptSent,
+            fmt::format("request={} attempt={} target={} service={} number={} load={:.1f}/{} cold={} trial={}",
+                request.callerId, attempt, target.record.id, request.service, request.attemptsSent, target.load(now),
+                target.record.slots, target.isCold(now), choice.trial) });
+        const auto usual = usualDuration(state, request);
+        if (request.idempotent && usual > Duration::zero()) {
+            const auto delay
+                = std::max<Duration>(minHedgeDelay, std::chrono::duration_cast<Duration>(usual * hedgeFactor));
+            out.push_back(SetHedge { id, now + delay });
+        }
+    }
+
+    bool hasTimeLeft(const EntryState& state, const Request& request, TimePoint now)
+    {
+        return seconds(request.deadline - now) > minTimeLeftFactor * seconds(usualDuration(state, request))
+            && request.deadline > now;
+    }
+
+    /// Sends the request once more if the route, the time left and the retry budget allow it.
+    bool sendAgain(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        if (request.attemptsSent >= request.maxAttempts || !hasTimeLeft(state, request, now))
+            return false;
+        const auto choice = chooseTarget(state, request, now);
+        if (!choice.target || !state.retries.take(request.service, now))
+            return false;
+        send(state, id, request, choice, now, out);
+        return true;
+    }
+
+    void answerOwn(EntryState& state, RequestId id, const Request& request, std::uint32_t status,
+        std::string_view reason, Duration retryAfter, TimePoint now, Effects& out)
+    {
+        const auto event = status == 503 ? LogEvent::RequestRefused : LogEvent::RequestOutcomeUnknown;
+        out.push_back(AnswerOwn { id, status, std::string(reason), retryAfter, request.account, request.service });
+        out.push_back(WriteLog { event,
+            fmt::format("request={} status={} reason={} service={} attempts={} age_ms={}", request.callerId, status,
+                reason, request.service, request.attemptsSent, (now - request.arrivedAt) / milliseconds(1)) });
+        attempts::finish(state, id, now, out);
+    }
+
+    void refuseForRoom(
+        EntryState& state, RequestId id, const Request& request, std::string_view reason, TimePoint now, Effects& out)
+    {
+        if (!request.account.empty())
+            state.quota.giveBack(request.account);
+        const auto spread = static_cast<double>(retryAfterSpread.count()) * state.random.unit();
+        answerOwn(
+            state, id, request, 503, reason, minRetryAfter + Duration(static_cast<Duration::rep>(spread)), now, out);
+    }
+
+    /// Ends a request whose attempts all ended without an answer to deliver, unless it is sent once more.
+    void continueOrGiveUp(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        if (!request.attempts.empty())
+            return;
+        if ((request.idempotent || !request.mayHaveRun) && sendAgain(state, id, request, now, out))
+            return;
+        if (request.failureAnswer) {
+            out.push_back(DeliverAnswer { id, *request.failureAnswer, request.account, request.service });
+            attempts::finish(state, id, now, out);
+            return;
+        }
+        if (request.mayHaveRun)
+            answerOwn(state, id, request, 502, "outcome-unknown", {}, now, out);
+        else
+            refuseForRoom(state, id, request, "targets-refused", now, out);
+    }
+
+    void recordDuration(EntryState& state, const Request& request, double taken)
+    {
+        auto& usual = state.durations[request.route].seconds;
+        usual = usual <= 0 ? taken : usual + durationWeight * (taken - usual);
+    }
+
+    double relativeDuration(const EntryState& state, const Request& request, double taken)
+    {
+        const auto usual = seconds(usualDuration(state, request));
+        return usual <= 0 ? 1 : std::max(0.01, taken / usual);
+    }
+
+} // namespace
+
+namespace attempts {
+
+    void sendFirst(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        const auto choice = chooseTarget(state, request, now);
+        if (choice.target)
+            send(state, id, request, choice, now, out);
+        else
+            refuseForRoom(
+                state, id, request, choice.reason == NoTarget::AllBusy ? "targets-busy" : "no-target", now, out);
+    }
+
+    void expire(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        for (const auto& [number, attempt] : request.attempts) {
+            if (auto* target = state.targets.find(attempt.target)) {
+                const auto taken = seconds(now - attempt.sentAt);
+                if (health::recordOutcome(
+                        *target, health::Outcome::Failed, relativeDuration(state, request, taken), now))
+                    logEjection(*target, out);
+            }
+        }
+        if (request.mayHaveRun || !request.attempts.empty())
+            answerOwn(state, id, request, 504, "timeout", {}, now, out);
+        else
+            refuseForRoom(state, id, request, "timeout", now, out);
+    }
+
+    void finish(EntryState& state, RequestId id, TimePoint, Effects& out)
+    {
+        const auto it = state.requests.find(id);
+        if (it == state.requests.end())
+            return;
+        for (const auto& [number, attempt] : it->second.attempts) {
+            (void)release(state, attempt);
+            out.push_back(CancelAttempt { number });
+        }
+        state.requests.erase(it);
+    }
+
+} // namespace attempts
+
+void apply(EntryState& state, const HedgeDue& event, TimePoint now, Effects& out)
+{
+    const auto it = state.requests.find(event.request);
+    if (it != state.requests.end() && it->second.idempotent && it->second.attempts.size() == 1)
+        (void)sendAgain(state, event.request, it->second, now, out);
+}
+
+void apply(EntryState& state, const AttemptAnswered& event, TimePoint now, Effects& out)
+{
+    const auto it = state.requests.find(event.request);
+    if (it == state.requests.end() || !it->second.attempts.contains(event.attempt))
+        return;
+    auto& request = it->second;
+    const auto attempt = request.attempts.at(event.attempt);
+    request.attempts.erase(event.attempt);
+    const auto taken = seconds(now - attempt.sentAt);
+    auto* target = release(state, attempt);
+    if (target && event.load) {
+        const auto all = event.load->running + event.load->waiting;
+        // The report counts the answered request and this VM's others.
+        target->othersLoad = all > target->inFlight + 1 ? all - target->inFlight - 1 : 0;
+        target->loadAt = now;
+        target->loadKnown = true;
+    }
+    out.push_back(WriteLog { LogEvent::AttemptAnswered,
+        fmt::format("request={} attempt={} target={} status={} taken_ms={:.0f}", request.callerId, event.attempt,
+            attempt.target, event.status, taken * 1000) });
+    using enum AnswerKind;
+    if (target) {
+        const auto outcome = event.kind == Complete ? health::Outcome::Answered
+            : event.kind == NotRun                  ? health::Outcome::Shed
+                                                    : health::Outcome::Failed;
+        const auto relative = event.kind == Complete ? relativeDuration(state, request, taken) : 0;
+        const bool changed = event.kind == Misdirected ? health::recordUnreachable(*target, Duration::zero(), now)
+                                                       : health::recordOutcome(*target, outcome, relative, now);
+        if (changed)
+            logEjection(*target, out);
+    }
+    if (event.kind == Complete) {
+        recordDuration(state, request, taken);
+        out.push_back(DeliverAnswer { event.request, event.attempt, request.account, request.service });
+        attempts::finish(state, event.request, now, out);
+        return;
+    }
+    if (event.kind == Failure) {
+        request.mayHaveRun = true;
+        if (event.deliverable)
+            request.failureAnswer = event.attempt;
+    }
+    continueOrGiveUp(state, event.request, request, now, out);
+}
+
+void apply(EntryState& state, const AttemptFailed& event, TimePoint now, Effects& out)
+{
+    const auto it = state.requests.find(event.request);
+    if (it == state.requests.end() || !it->second.attempts.contains(event.attempt))
+        return;
+    auto& request = it->second;
+    const auto attempt = request.attempts.at(event.attempt);
+    request.attempts.erase(event.attempt);
+    auto* target = release(state, attempt);
+    out.push_back(WriteLog { LogEvent::AttemptFailed,
+        fmt::format("request={} attempt={} target={} progress={} detail=\"{}\"", request.callerId, event.attempt,
+            attempt.target, static_cast<int>(event.progress), event.detail) });
+    if (event.progress == AttemptProgress::Sent)
+        request.mayHaveRun = true;
+    else
+        --request.attemptsSent; // nothing reached the target
+    if (target) {
+        const auto* service = state.policy.findService(request.service);
+        const bool changed = event.progress == AttemptProgress::NotConnected
+            ? health::recordUnreachable(*target, service ? service->coldTime : Duration::zero(), now)
+            : event.progress == AttemptProgress::Sent ? health::recordOutcome(*target, health::Outcome::Failed, 0, now)
+                                                      : false;
+        if (changed)
+            logEjection(*target, out);
+    }
+    continueOrGiveUp(state, event.request, request, now, out);
+}
+
+} // namespace arbutuscrank::entry
--- /dev/null
+++ b/src/entry/members.cpp
@@ -0,0 +1,128 @@
+#include <arbutuscrank/entry/members.hpp>
+
+#include <algorithm>
+
+namespace arbutuscrank::entry {
+
+namespace {
+
+    /// Addresses that a look-up names at most.
+    constexpr std::size_t maxAddresses = 64;
+    /// Lifetime of an answer. A stopping VM serves for three of them, the time that some callers keep an answer.
+    constexpr Duration lookupLifetime = std::chrono::milliseconds(1000);
+    /// Fewer VMs than this in a failure domain are joined by those of the region, so that one crash leaves another.
+    constexpr std::size_t minAddresses = 2;
+
+    bool takesCallers(const Member& member, TimePoint now)
+    {
+        return MemberTable::isHeard(member, now) && member.report && member.report->ready && !member.report->leaving;
+    }
+
+    bool isAllowed(const MemberRecord& record, std::string_view callerRegion, const std::vector<std::string>& homes)
+    {
+        return homes.empty() || record.region == callerRegion || std::ranges::find(homes, record.region) != homes.end();
+    }
+
+} // namespace
+
+void MemberTable::applyRecord(const MemberRecord& record, TimePoint now)
+{
+    if (record.process.vm == m_self.process.vm)
+        return;
+    auto& member = m_members[record.process.vm];
+    if (member.record.process.vm.empty())
+        member.knownSince = now;
+    member.record = record;
+}
+
+void MemberTable::applyRemoval(std::string_view vm) { m_members.erase(std::string(vm)); }
+
+void MemberTable::applySnapshot(const std::vector<MemberRecord>& records, TimePoint now)
+{
+    std::erase_if(m_members, [&](const auto& item) {
+        return std::ranges::none_of(records, [&](const auto& record) { return record.process.vm == item.first; });
+    });
+    for (const auto& record : records)
+        applyRecord(record, now);
+}
+
+bool MemberTable::applyReport(const Report& report, TimePoint now)
+{
+    const auto it = m_members.find(report.process.vm);
+    if (it == m_members.end())
+        return false;
+    auto& member = it->second;
+    if (member.report) {
+        const auto& last = *member.report;
+        if (report.process.incarnation < last.process.incarnation)
+            return false;
+        if (report.process.incarnation == last.process.incarnation && report.sequence <= last.sequence)
+            return false;
+    }
+    member.report = report;
+    member.heardAt = now;
+    return true;
+}
+
+bool MemberTable::takeForgetTurn(const VmId& vm, Duration silence, TimePoint now)
+{
+    const auto it = m_members.find(vm);
+    if (it == m_members.end())
+        return false;
+    auto& member = it->second;
+    if (now - member.heardAt.value_or(member.knownSince) < silence)
+        return false;
+    if (member.forgottenAt && now - *member.forgottenAt < silence)
+        return false;
+    member.forgottenAt = now;
+    return true;
+}
+
+bool MemberTable::isHeard(const Member& member, TimePoint now, Duration limit) noexcept
+{
+    return member.heardAt && now - *member.heardAt < limit;
+}
+
+std::vector<VmId> MemberTable::vmsOfRegion(std::string_view region) const
+{
+    std::vector<VmId> vms;
+    if (m_self.region == region)
+        vms.push_back(m_self.process.vm);
+    for (const auto& [vm, member] : m_members) {
+        if (member.record.region == region)
+            vms.push_back(vm);
+    }
+    std::ranges::sort(vms);
+    return vms;
+}
+
+LookupAnswer answerLookup(const MemberTable& members, std::string_view region, std::string_view failureDomain,
+    const std::vector<std::string>& homes, bool selfReady, Duration maxLifetime, TimePoint now)
+{
+    std::vector<const MemberRecord*> usable;
+    if (selfReady)
+        usable.push_back(&members.self());
+    for (const auto& [vm, member] : members.others()) {
+        if (takesCallers(member, now))
+            usable.push_back(&member.record);
+    }
+    LookupAnswer answer;
+    answer.lifetime = std::min(lookupLifetime, maxLifetime);
+    const auto add = [&](auto matches) {
+        for (const auto* record : usable) {
+            if (answer.addresses.size() < maxAddresses && matches(*record)
+                && std::ranges::find(answer.addresses, record->callerAddress) == answer.addresses.end())
+                answer.addresses.push_back(record->callerAddress);
+        }
+    };
+    add([&](const MemberRecord& record) { return record.failureDomain == failureDomain; });
+    if (answer.addresses.size() < minAddresses)
+        add([&](const MemberRecord& record) { return record.region == region; });
+    if (answer.addresses.empty())
+        add([&](const MemberRecord& record) { return isAllowed(record, region, homes); });
+    if (answer.addresses.empty())
+        add([](const MemberRecord&) { return true; });
+    return answer;
+}
+
+} // namespace arbutuscrank::entry
--- /dev/null
+++ b/src/entry/reduce_requests.cpp
@@ -0,0 +1,136 @@
+#include "entry/reducers.hpp"
+
+#include "entry/attempts.hpp"
+
+#include <arbutuscrank/config/codec.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace arbutuscrank::entry {
+
+namespace {
+
+    /// Retry-After of a VM that has no configuration yet: it reads it within a few hundred milliseconds.
+    constexpr Duration startRetryAfter = std::chrono::milliseconds(500);
+    /// Longest wait that callers are told; they honour a third of the time that they have left.
+    constexpr Duration maxRetryAfter = std::chrono::milliseconds(1000);
+
+    Request makeRequest(
+        const RequestArrived& event, const RoutePolicy& route, const AccountPolicy* account, TimePoint now)
+    {
+        Request request {
+            .callerId = event.callerId,
+            .route = route.name,
+            .affinity = event.affinity.empty() ? std::string() : route.name + '\n' + event.affinity,
+            .routeRegions = route.regions,
+            .idempotent = route.idempotent,
+            .priority = route.priority,
+            .maxAttempts = route.maxAttempts,
+            .arrivedAt = now,
+            .deadline = now + std::min(event.timeLeft.value_or(route.timeout), route.timeout),
+            .objective = route.latencyObjective,
+        };
+        if (account) {
+            request.account = account->name;
+            request.accountRegions = account->regions;
+            request.priority = account->priority.value_or(route.priority);
+        }
+        return request;
+    }
+
+    /// Smooth weighted round robin: every run of requests comes close to the weights.
+    const std::string& chooseService(EntryState& state, const RoutePolicy& route)
+    {
+        if (route.services.size() == 1)
+            return route.services.front().service;
+        auto& credits = state.splitCredits[route.name];
+        if (credits.size() != route.services.size()) {
+            credits.assign(route.services.size(), 0.0);
+            // VMs start at different places, so that they do not all begin with the heaviest part.
+            for (auto& it : credits)
+                it = state.random.unit();
+        }
+        double total = 0;
+        std::size_t best = 0;
+        for (std::size_t i = 0; i < credits.size(); ++i) {
+            total += route.services[i].weight;
+            credits[i] += route.services[i].weight;
+        }
+        for (std::size_t i = 1; i < credits.size(); ++i) {
+            if (route.services[i].weight > 0 && (credits[i] > credits[best] || route.services[best].weight <= 0))
+                best = i;
+        }
+        credits[best] -= total;
+        return route.services[best].service;
+    }
+
+    void refuse(const RequestArrived& event, std::uint32_t status, std::string_view reason, Duration retryAfter,
+        std::string_view inputs, Effects& out)
+    {
+        out.push_back(AnswerOwn { event.request, status, std::string(reason), retryAfter, {}, {} });
+        out.push_back(WriteLog { LogEvent::RequestRefused,
+            fmt::format("request={} status={} reason={} {}", event.callerId, status, reason, inputs) });
+    }
+
+} // namespace
+
+void apply(EntryState& state, const RequestArrived& event, TimePoint now, Effects& out)
+{
+    const auto version = state.policy.policy().version;
+    if (version == 0 || !state.targets.isLoaded()) {
+        refuse(event, 503, "starting", startRetryAfter, "version=0", out);
+        return;
+    }
+    const auto* route = state.policy.findRoute(event.host, event.path.substr(0, event.path.find('?')));
+    if (!route) {
+        refuse(event, 404, "no-route", {}, fmt::format("host={} version={}", event.host, version), out);
+        return;
+    }
+    const AccountPolicy* account = nullptr;
+    if (!route->open && !state.policy.policy().accounts.empty()) {
+        if (!isPolicyFresh(state, now)) {
+            refuse(event, 503, "configuration-stale", maxRetryAfter, fmt::format("version={}", version), out);
+            return;
+        }
+        account = event.key.empty() ? nullptr : state.policy.findAccount(sha256Hex(event.key));
+        if (!account) {
+            refuse(event, 401, "unknown-key", {}, fmt::format("version={}", version), out);
+            return;
+        }
+        if (!state.quota.admit(account->name, now)) {
+            const auto wait = std::clamp<Duration>(
+                state.quota.timeUntilToken(account->name, now), std::chrono::milliseconds(100), maxRetryAfter);
+            refuse(event, 429, "over-quota", wait, fmt::format("account={} version={}", account->name, version), out);
+            return;
+        }
+    }
+    auto request = makeRequest(event, *route, account, now);
+    request.service = chooseService(state, *route);
+    ++state.demand[request.service].arrivals;
+    state.retries.countRequest(request.service, now);
+    auto& stored = state.requests.emplace(event.request, std::move(request)).first->second;
+    out.push_back(SetExpiry { event.request, stored.deadline });
+    attempts::sendFirst(state, event.request, stored, now, out);
+}
+
+void apply(EntryState& state, const CallerLeft& event, TimePoint now, Effects& out)
+{
+    const auto it = state.requests.find(event.request);
+    if (it == state.requests.end())
+        return;
+    out.push_back(WriteLog { LogEvent::RequestCancelled,
+        fmt::format("request={} age_ms={}", it->second.callerId,
+            (now - it->second.arrivedAt) / std::chrono::milliseconds(1)) });
+    attempts::finish(state, event.request, now, out);
+}
+
+void apply(EntryState& state, const RequestExpired& event, TimePoint now, Effects& out)
+{
+    const auto it = state.requests.find(event.request);
+    if (it != state.requests.end())
+        attempts::expire(state, event.request, it->second, now, out);
+}
+
+} // namespace arbutuscrank::entry
--- /dev/null
+++ b/src/entry/reduce_store.cpp
@@ -0,0 +1,140 @@
+#include "entry/reducers.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace arbutuscrank::entry {
+
+namespace {
+
+    /// Margin of the withdrawal bound for clocks that run at slightly different speeds.
+    constexpr Duration withdrawalMargin = std::chrono::milliseconds(200);
+
+    void logLeaving(std::string_view target, Effects& out)
+    {
+        out.push_back(WriteLog { LogEvent::TargetDraining, fmt::format("target={}", target) });
+        out.push_back(CloseIdle { std::string(target) });
+    }
+
+} // namespace
+
+bool isReady(const EntryState& state) noexcept
+{
+    return state.policy.policy().version != 0 && state.targets.isLoaded() && !state.stopRequestedAt;
+}
+
+bool isPolicyFresh(const EntryState& state, TimePoint now) noexcept
+{
+    return state.policyConfirmedAt
+        && now - *state.policyConfirmedAt < state.settings.bounds.withdrawal - withdrawalMargin;
+}
+
+void apply(EntryState& state, const PolicyRead& event, TimePoint now, Effects& out)
+{
+    const auto current = state.policy.policy().version;
+    if (event.policy.version <= current)
+        return;
+    if (const auto faults = findFaults(event.policy); !faults.empty()) {
+        out.push_back(WriteLog { LogEvent::ConfigurationRefused,
+            fmt::format("version={} in_force={} faults={} first=\"{}\"", event.policy.version, current, faults.size(),
+                faults.front()) });
+        return;
+    }
+    state.policy = PolicyIndex(event.policy);
+    state.quota.setPolicy(event.policy, now);
+    std::erase_if(state.splitCredits, [&](const auto& item) {
+        return std::ranges::none_of(event.policy.routes, [&](const auto& route) { return route.name == item.first; });
+    });
+    out.push_back(WriteLog { LogEvent::ConfigurationApplied,
+        fmt::format("version={} previous={} routes={} services={} accounts={}", event.policy.version, current,
+            event.policy.routes.size(), event.policy.services.size(), event.policy.accounts.size()) });
+}
+
+void apply(EntryState& state, const PolicyConfirmed& event, TimePoint now, Effects& out)
+{
+    state.policyConfirmedAt = std::max(state.policyConfirmedAt.value_or(event.sentAt), event.sentAt);
+    if (state.keyedRefused && isPolicyFresh(state, now)) {
+        state.keyedRefused = false;
+        out.push_back(
+            WriteLog { LogEvent::ConfigurationFresh, fmt::format("version={}", state.policy.policy().version) });
+    }
+}
+
+void apply(EntryState& state, const TargetsListed& event, TimePoint now, Effects& out)
+{
+    for (const auto& id : state.targets.applySnapshot(event.records, now))
+        logLeaving(id, out);
+    state.selection.updateColdShares(state.targets, state.policy, state.members, now);
+}
+
+void apply(EntryState& state, const TargetChanged& event, TimePoint now, Effects& out)
+{
+    if (state.targets.applyRecord(event.record, now))
+        logLeaving(event.record.id, out);
+    state.selection.updateColdShares(state.targets, state.policy, state.members, now);
+}
+
+void apply(EntryState& state, const TargetRemoved& event, TimePoint now, Effects& out)
+{
+    if (state.targets.applyRemoval(event.id, now))
+        logLeaving(event.id, out);
+}
+
+void apply(EntryState& state, const EvacuationsChanged& event, TimePoint now, Effects& out)
+{
+    const auto before = state.targets.evacuated();
+    for (auto& [id, target] : state.targets.all()) {
+        const auto& domain = target.record.failureDomain;
+        const auto* service = state.policy.findService(target.record.service);
+        // Targets may be cold when their failure domain comes back, before the store says so.
+        if (service && before.contains(domain) && !event.failureDomains.contains(domain))
+            target.coldUntil = std::max(target.coldUntil.value_or(now), now + service->coldTime);
+    }
+    state.targets.setEvacuated(event.failureDomains);
+    state.selection.updateColdShares(state.targets, state.policy, state.members, now);
+    out.push_back(WriteLog {
+        LogEvent::EvacuationApplied, fmt::format("failure_domains=\"{}\"", fmt::join(event.failureDomains, ",")) });
+}
+
+void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects&)
+{
+    state.members.applySnapshot(event.records, now);
+    state.retries.setFleetSize(state.members.fleetSize());
+}
+
+void apply(EntryState& state, const MemberChanged& event, TimePoint now, Effects& out)
+{
+    state.members.applyRecord(event.record, now);
+    state.retries.setFleetSize(state.members.fleetSize());
+    if (event.record.process.vm != state.members.self().process.vm) {
+        out.push_back(WriteLog { LogEvent::MemberJoined,
+            fmt::format("member={} incarnation={}", event.record.process.vm, event.record.process.incarnation) });
+        sendReport(state, now, out);
+    }
+}
+
+void apply(EntryState& state, const MemberRemoved& event, TimePoint, Effects& out)
+{
+    state.members.applyRemoval(event.vm);
+    state.retries.setFleetSize(state.members.fleetSize());
+    out.push_back(WriteLog { LogEvent::MemberGone, fmt::format("member={}", event.vm) });
+}
+
+void apply(EntryState& state, const StoreFailed&, TimePoint, Effects& out)
+{
+    state.targets.storeFailed();
+    if (!state.storeAway)
+        out.push_back(WriteLog { LogEvent::StoreFailed, "peer=" + state.settings.storeAddress });
+    state.storeAway = true;
+}
+
+void apply(EntryState& state, const StoreAnswered&, TimePoint now, Effects& out)
+{
+    state.targets.storeAnswered(now);
+    if (state.storeAway)
+        out.push_back(WriteLog { LogEvent::StoreRecovered, "peer=" + state.settings.storeAddress });
+    state.storeAway = false;
+}
+
+} // namespace arbutuscrank::entry
--- /dev/null
+++ b/src/entry/retry_limit.cpp
@@ -0,0 +1,40 @@
+#include <arbutuscrank/entry/retry_limit.hpp>
+
+namespace arbutuscrank::entry {
+
+namespace {
+
+    /// Part of the budget that is used: requests and repeats of one window may fall into two windows of an observer.
+    constexpr double usedPart = 0.8;
+
+} // namespace
+
+void RetryLimit::expire(Counts& counts, TimePoint now) const
+{
+    const auto oldest = now - m_window;
+    while (!counts.requests.empty() && counts.requests.front() < oldest)
+        counts.requests.pop_front();
+    while (!counts.repeats.empty() && counts.repeats.front() < oldest)
+        counts.repeats.pop_front();
+}
+
+void RetryLimit::countRequest(const std::string& service, TimePoint now)
+{
+    auto& counts = m_services[service];
+    expire(counts, now);
+    counts.requests.push_back(now);
+}
+
+bool RetryLimit::take(const std::string& service, TimePoint now)
+{
+    auto& counts = m_services[service];
+    expire(counts, now);
+    const double limit
+        = usedPart * (m_ratio * static_cast<double>(counts.requests.size()) + m_slack / static_cast<double>(m_vms));
+    if (static_cast<double>(counts.repeats.size()) + 1 > limit)
+        return false;
+    counts.repeats.push_back(now);
+    return true;
+}
+
+} // namespace arbutuscrank::entry
--- /dev/null
+++ b/src/entry/targets.cpp
@@ -0,0 +1,147 @@
+#include <arbutuscrank/entry/targets.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace arbutuscrank::entry {
+
+namespace {
+
+    /// Age past which another VM's share of a reported load says nothing any more. A request takes about this long.
+    constexpr Duration loadLifetime = std::chrono::milliseconds(800);
+
+} // namespace
+
+std::string_view toString(Ejection ejection) noexcept
+{
+    switch (ejection) {
+    case Ejection::None:
+        return "none";
+    case Ejection::Unreachable:
+        return "unreachable";
+    case Ejection::Failing:
+        return "failing";
+    case Ejection::Slow:
+        return "slow";
+    }
+    return "unknown";
+}
+
+double Target::load(TimePoint now) const noexcept
+{
+    const auto own = static_cast<double>(inFlight);
+    if (!loadKnown)
+        return own;
+    const auto age = now - loadAt;
+    if (age >= loadLifetime)
+        return own;
+    const double weight = 1.0 - static_cast<double>(age.count()) / static_cast<double>(loadLifetime.count());
+    return own + static_cast<double>(othersLoad) * weight;
+}
+
+void TargetTable::setRecord(Target& target, const TargetRecord& record, TimePoint now)
+{
+    const bool restarted = target.record.startedAtMs != record.startedAtMs || target.record.address != record.address;
+    if (restarted) {
+        target.ejection = Ejection::None;
+        target.ejections = 0;
+        target.failureShare = 0;
+        target.slowness = 1;
+        target.samples = 0;
+        target.loadKnown = false;
+        target.coldUntil.reset();
+    }
+    target.record = record;
+    target.hash = XXH64(record.id.data(), record.id.size(), 0);
+    target.removeAt.reset();
+    if (record.coldRemaining > Duration::zero())
+        target.coldUntil = std::max(target.coldUntil.value_or(now), now + record.coldRemaining);
+}
+
+std::vector<std::string> TargetTable::applySnapshot(std::span<const TargetRecord> records, TimePoint now)
+{
+    std::vector<std::string> leaving;
+    std::set<std::string_view> present;
+    for (const auto& record : records) {
+        present.insert(record.id);
+        if (applyRecord(record, now))
+            leaving.push_back(record.id);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, target] : m_targets) {
+        if (!present.contains(id))
+            missing.push_back(id);
+    }
+    for (const auto& id : missing) {
+        if (applyRemoval(id, now))
+            leaving.push_back(id);
+    }
+    m_loaded = true;
+    return leaving;
+}
+
+bool TargetTable::applyRecord(const TargetRecord& record, TimePoint now)
+{
+    auto& target = m_targets[record.id];
+    const bool wasDraining = target.record.draining;
+    setRecord(target, record, now);
+    return record.draining && !wasDraining;
+}
+
+bool TargetTable::applyRemoval(std::string_view id, TimePoint now)
+{
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end())
+        return false;
+    const bool mayHaveLapsed = m_storeAway || (m_storeReturned && now < *m_storeReturned + lapseGrace);
+    if (mayHaveLapsed && !it->second.record.draining) {
+        if (!it->second.removeAt)
+            it->second.removeAt = m_storeReturned.value_or(now) + lapseGrace;
+        return false;
+    }
+    m_targets.erase(it);
+    return true;
+}
+
+void TargetTable::storeAnswered(TimePoint now) noexcept
+{
+    if (!m_storeAway)
+        return;
+    m_storeAway = false;
+    m_storeReturned = now;
+}
+
+std::vector<std::string> TargetTable::expire(TimePoint now)
+{
+    std::vector<std::string> gone;
+    if (m_storeAway)
+        return gone;
+    std::erase_if(m_targets, [&](const auto& item) {
+        const auto& [id, target] = item;
+        if (!target.removeAt || now < *target.removeAt)
+            return false;
+        gone.push_back(id);
+        return true;
+    });
+    return gone;
+}
+
+Target* TargetTable::find(std::string_view id)
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : &it->second;
+}
+
+const Target* TargetTable::find(std::string_view id) const
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : &it->second;
+}
+
+bool TargetTable::isInService(const Target& target) const noexcept
+{
+    return !target.record.draining && !m_evacuated.contains(target.record.failureDomain);
+}
+
+} // namespace arbutuscrank::entry
--- /dev/null
+++ b/src/node/http_channel.cpp
@@ -0,0 +1,119 @@
+#include "node/http_channel.hpp"
+
+namespace arbutuscrank::node {
+
+namespace {
+
+    /// Largest answer of the store: a page of a list is about 1 MB.
+    constexpr std::uint64_t maxAnswerBytes = 8U << 20U;
+    /// A peer that acknowledges nothing for this long is gone.
+    constexpr Duration peerSilence = std::chrono::seconds(1);
+
+} // namespace
+
+HttpChannel::HttpChannel(asio::io_context& context, Tcp::endpoint server, std::string peer)
+    : m_socket(context)
+    , m_timer(context)
+    , m_server(std::move(server))
+    , m_peer(std::move(peer))
+{
+}
+
+void HttpChannel::call(Request request, Duration timeout, Handler done)
+{
+    m_calls.push_back({ std::move(request), timeout, std::move(done) });
+    if (!m_busy)
+        startNext();
+}
+
+void HttpChannel::startNext()
+{
+    if (m_calls.empty())
+        return;
+    m_busy = true;
+    m_timer.expires_after(m_calls.front().timeout);
+    m_timer.async_wait([self = shared_from_this(), generation = m_generation](SystemError ec) {
+        if (!ec && generation == self->m_generation)
+            self->fail(ErrorCode::Timeout, "store.answer", "no answer in time");
+    });
+    if (m_connected)
+        send();
+    else
+        connect();
+}
+
+void HttpChannel::connect()
+{
+    m_socket = Tcp::socket(m_socket.get_executor());
+    m_socket.async_connect(m_server, [self = shared_from_this(), generation = m_generation](SystemError ec) {
+        if (generation != self->m_generation)
+            return;
+        if (ec) {
+            self->fail(ErrorCode::Unavailable, "store.connect", ec.message());
+            return;
+        }
+        prepareSocket(self->m_socket, peerSilence);
+        self->m_connected = true;
+        self->send();
+    });
+}
+
+void HttpChannel::send()
+{
+    m_parser.emplace();
+    m_parser->body_limit(maxAnswerBytes);
+    http::async_write(m_socket, m_calls.front().request,
+        [self = shared_from_this(), generation = m_generation](SystemError ec, std::size_t) {
+            if (generation != self->m_generation)
+                return;
+            if (ec)
+                self->fail(ErrorCode::Unknown, "store.send", ec.message());
+            else
+                self->receive();
+        });
+}
+
+void HttpChannel::receive()
+{
+    http::async_read(m_socket, m_buffer, *m_parser,
+        [self = shared_from_this(), generation = m_generation](SystemError ec, std::size_t) {
+            if (generation != self->m_generation)
+                return;
+            if (ec) {
+                self->fail(ErrorCode::Unknown, "store.answer", ec.message());
+                return;
+            }
+            if (!self->m_parser->keep_alive() || self->m_buffer.size() != 0)
+                self->close();
+            self->finish(self->m_parser->release());
+        });
+}
+
+void HttpChannel::finish(Result<Response> result)
+{
+    ++m_generation;
+    m_timer.cancel();
+    auto done = std::move(m_calls.front().done);
+    m_calls.pop_front();
+    m_busy = false;
+    const auto self = shared_from_this();
+    done(std::move(result));
+    if (!m_busy)
+        startNext();
+}
+
+void HttpChannel::fail(ErrorCode code, std::string_view step, std::string_view detail)
+{
+    close();
+    finish(Error { code, std::string(step), m_peer, std::string(detail) });
+}
+
+void HttpChannel::close()
+{
+    SystemError ec;
+    m_socket.close(ec); // the connection is given up; an error changes nothing
+    m_connected = false;
+    m_buffer.consume(m_buffer.size());
+}
+
+} // namespace arbutuscrank::node
--- /dev/null
+++ b/src/node/http_channel.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "node/network.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// \brief HTTP client for one server: one call at a time on one kept connection.
+
+namespace arbutuscrank::node {
+
+namespace http = boost::beast::http;
+
+/// \brief A kept connection to one server. Calls wait for their turn; a failed call closes the connection.
+///
+/// \code
+/// auto channel = std::make_shared<HttpChannel>(context, endpoint);
+/// channel->call(request, std::chrono::milliseconds(500), [](Result<HttpChannel::Response> answer) { ... });
+/// \endcode
+class HttpChannel : public std::enable_shared_from_this<HttpChannel> {
+public:
+    using Request = http::request<http::string_body>;
+    using Response = http::response<http::string_body>;
+    using Handler = std::function<void(Result<Response>)>;
+
+    HttpChannel(asio::io_context& context, Tcp::endpoint server, std::string peer);
+
+    /// \brief Sends a request. \param timeout from the start of the call to the end of its answer
+    /// Errors: Unavailable if no connection could be opened, Unknown and Timeout if the request may have been read.
+    void call(Request request, Duration timeout, Handler done);
+
+private:
+    struct Call {
+        Request request;
+        Duration timeout;
+        Handler done;
+    };
+
+    void startNext();
+    void connect();
+    void send();
+    void receive();
+    void finish(Result<Response> result);
+    void fail(ErrorCode code, std::string_view step, std::string_view detail);
+    void close();
+
+    Tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    Tcp::endpoint m_server;
+    std::string m_peer;
+    std::deque<Call> m_calls;
+    bool m_busy = false;
+    bool m_connected = false;
+    std::uint64_t m_generation = 0; ///< changes when a call ends, so that late completions are ignored
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+};
+
+} // namespace arbutuscrank::node
--- /dev/null
+++ b/src/node/member_codec.cpp
@@ -0,0 +1,34 @@
+#include "node/member_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace arbutuscrank::node {
+
+StoreObject encodeMember(const entry::MemberRecord& member)
+{
+    const nlohmann::json body {
+        { "region", member.region },
+        { "failureDomain", member.failureDomain },
+        { "callerAddress", member.callerAddress },
+        { "reportAddress", member.reportAddress },
+    };
+    return { .name = member.process.vm, .body = body.dump() };
+}
+
+Result<entry::MemberRecord> decodeMember(const StoreObject& object)
+{
+    try {
+        const auto body = nlohmann::json::parse(object.body);
+        return entry::MemberRecord {
+            .process = { object.name, 0 },
+            .region = body.at("region").get<std::string>(),
+            .failureDomain = body.at("failureDomain").get<std::string>(),
+            .callerAddress = body.at("callerAddress").get<std::string>(),
+            .reportAddress = body.at("reportAddress").get<std::string>(),
+        };
+    } catch (const nlohmann::json::exception& ec) {
+        return Error { ErrorCode::Protocol, "member.decode", object.name, ec.what() };
+    }
+}
+
+} // namespace arbutuscrank::node
--- /dev/null
+++ b/src/node/network.cpp
@@ -0,0 +1,51 @@
+#include "node/network.hpp"
+
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace arbutuscrank::node {
+
+Result<Tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    const Error error { ErrorCode::InvalidArgument, "address.parse", std::string(text), "must be ip:port" };
+    if (colon == std::string_view::npos)
+        return error;
+    SystemError ec;
+    const auto ip = asio::ip::make_address(std::string(text.substr(0, colon)), ec);
+    std::uint16_t port = 0;
+    const auto digits = text.substr(colon + 1);
+    const auto [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (ec || fault != std::errc() || end != digits.data() + digits.size())
+        return error;
+    return Tcp::endpoint(ip, port);
+}
+
+void prepareSocket(Tcp::socket& socket, Duration silence)
+{
+    // Options are best effort: a connection without them works, it only fails later.
+    SystemError ec;
+    socket.set_option(Tcp::no_delay(true), ec);
+    const auto ms = static_cast<int>(silence / std::chrono::milliseconds(1));
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(UserTimeout(ms), ec);
+}
+
+Result<Tcp::acceptor> listenOn(asio::io_context& context, const std::string& address)
+{
+    BOOST_OUTCOME_TRY(endpoint, parseEndpoint(address));
+    Tcp::acceptor acceptor(context);
+    SystemError ec;
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(endpoint, ec);
+    if (!ec)
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return Error { ErrorCode::Unavailable, "listen", address, ec.message() };
+    return acceptor;
+}
+
+} // namespace arbutuscrank::node
--- /dev/null
+++ b/src/node/simple_server.cpp
@@ -0,0 +1,110 @@
+#include "node/simple_server.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace arbutuscrank::node {
+
+namespace {
+
+    /// An idle connection is closed after this time.
+    constexpr Duration idleTimeout = std::chrono::seconds(10);
+    constexpr Duration peerSilence = std::chrono::seconds(3);
+    /// Wait before a failed accept is tried again, so that a lack of descriptors does not spin.
+    constexpr Duration acceptPause = std::chrono::milliseconds(50);
+
+    class Session : public std::enable_shared_from_this<Session> {
+    public:
+        Session(Tcp::socket socket, std::shared_ptr<SimpleServer::Handler> handler)
+            : m_socket(std::move(socket))
+            , m_timer(m_socket.get_executor())
+            , m_handler(std::move(handler))
+        {
+            prepareSocket(m_socket, peerSilence);
+        }
+
+        void read()
+        {
+            m_request = {};
+            m_timer.expires_after(idleTimeout);
+            m_timer.async_wait([weak = weak_from_this()](SystemError ec) {
+                SystemError ignored;
+                if (const auto self = weak.lock(); self && !ec)
+                    self->m_socket.close(ignored); // nobody waits for an answer
+            });
+            http::async_read(m_socket, m_buffer, m_request, [self = shared_from_this()](SystemError ec, std::size_t) {
+                if (!ec)
+                    self->write();
+            });
+        }
+
+    private:
+        void write()
+        {
+            const std::string_view target(m_request.target().data(), m_request.target().size());
+            m_answer = m_request.method() == http::verb::get
+                ? (*m_handler)(target)
+                : makeAnswer(http::status::method_not_allowed, {}, "text/plain");
+            m_answer.keep_alive(m_request.keep_alive());
+            m_answer.prepare_payload();
+            http::async_write(m_socket, m_answer, [self = shared_from_this()](SystemError ec, std::size_t) {
+                if (!ec && self->m_request.keep_alive())
+                    self->read();
+            });
+        }
+
+        Tcp::socket m_socket;
+        asio::steady_timer m_timer;
+        std::shared_ptr<SimpleServer::Handler> m_handler;
+        boost::beast::flat_buffer m_buffer;
+        http::request<http::string_body> m_request;
+        SimpleServer::Answer m_answer;
+    };
+
+} // namespace
+
+SimpleServer::Answer makeAnswer(http::status status, std::string body, std::string_view contentType)
+{
+    SimpleServer::Answer answer(status, 11);
+    answer.set(http::field::content_type, std::string(contentType));
+    answer.body() = std::move(body);
+    return answer;
+}
+
+SimpleServer::SimpleServer(asio::io_context& context, Handler handler)
+    : m_context(context)
+    , m_handler(std::make_shared<Handler>(std::move(handler)))
+{
+}
+
+Result<void> SimpleServer::open(const std::string& address)
+{
+    BOOST_OUTCOME_TRY(acceptor, listenOn(m_context, address));
+    m_acceptor.emplace(std::move(acceptor));
+    accept();
+    return outcome::success();
+}
+
+void SimpleServer::close()
+{
+    SystemError ec;
+    if (m_acceptor)
+        m_acceptor->close(ec); // the address is given up; an error changes nothing
+}
+
+void SimpleServer::accept()
+{
+    m_acceptor->async_accept([this](SystemError ec, Tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec) {
+            std::make_shared<Session>(std::move(socket), m_handler)->read();
+            accept();
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_context, acceptPause);
+        timer->async_wait([this, timer](SystemError) { accept(); });
+    });
+}
+
+} // namespace arbutuscrank::node
--- a/src/daemon/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -1,4 +1,4 @@
-#include "daemon/metrics.hpp"
+#include "telemetry/metrics.hpp"
 
 #include <algorithm>
 #include <array>
