Fill caches once for the fleet, admit from the fleet's bucket, read changes together

Change: affinity values have one region for the whole fleet until the targets are older than 12 s, then move home at 5% a second; the fleet's bucket is used up to the tolerated excess; watches pause 300 ms after a change; reports tell how long the store has been up.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -132,7 +132,9 @@
 };
 
 /// \brief Comes several times a second.
-struct Tick { };
+struct Tick {
+    std::uint64_t unixMs = 0; ///< time of day
+};
 
 /// \brief The process was told to stop.
 struct StopRequested { };
--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -35,6 +35,7 @@
     std::uint64_t sequence = 0; ///< grows with each report of a process
     bool ready = false; ///< takes callers
     bool leaving = false; ///< was told to stop
+    Duration storeUpFor {}; ///< time for which the store has answered all calls; zero while it does not
     std::map<std::string, AccountUse, std::less<>> accounts; ///< by account name
     std::map<std::string, double, std::less<>> serviceDemand; ///< requests per second by service
 };
@@ -80,6 +81,8 @@
     [[nodiscard]] static bool isHeard(const Member& member, TimePoint now, Duration limit = silenceLimit) noexcept;
 
     [[nodiscard]] const std::map<VmId, Member>& others() const noexcept { return m_members; }
+    /// \brief Longest time for which the store has answered some other VM that was heard lately.
+    [[nodiscard]] Duration storeUpElsewhere(TimePoint now) const noexcept;
     /// \brief Registered VMs, this one counted.
     [[nodiscard]] std::size_t fleetSize() const noexcept { return m_members.size() + 1; }
     /// \brief Registered VMs of a region in the order of their names, this one counted.
--- a/include/arbutuscrank/entry/quota_sharing.hpp
+++ b/include/arbutuscrank/entry/quota_sharing.hpp
@@ -2,6 +2,7 @@
 
 #include <arbutuscrank/core/token_bucket.hpp>
 #include <arbutuscrank/entry/members.hpp>
+#include <arbutuscrank/entry/settings.hpp>
 #include <arbutuscrank/entry/traffic_policy.hpp>
 
 #include <deque>
@@ -21,6 +22,11 @@
 /// token of this VM's share, which follows the VM's part of the demand. A silent VM keeps the share that it had.
 class QuotaSharing {
 public:
+    explicit QuotaSharing(const Bounds& bounds)
+        : m_bounds(bounds)
+    {
+    }
+
     /// \brief Takes over rates and bursts. Accounts that are gone are dropped.
     void setPolicy(const TrafficPolicy& policy, TimePoint now);
 
@@ -39,6 +45,9 @@
     /// \brief Time until the account's share has a token again.
     [[nodiscard]] Duration timeUntilToken(const std::string& account, TimePoint now);
 
+    /// \brief Rate, burst, shares and levels of an account, for log lines.
+    [[nodiscard]] std::string describe(const std::string& account, TimePoint now);
+
     /// \brief Counters for this VM's own report.
     [[nodiscard]] std::map<std::string, AccountUse, std::less<>> use(TimePoint now);
 
@@ -66,8 +75,10 @@
     };
 
     void refill(Account& account, TimePoint now) const;
-    [[nodiscard]] double unseen(const Account& account) const;
+    [[nodiscard]] double unseen(const Account& account) const; ///< tokens that others may have spent since their reports
+    [[nodiscard]] double tolerance(const Account& account) const; ///< tokens that may be spent beyond the bucket
 
+    Bounds m_bounds;
     std::map<std::string, Account, std::less<>> m_accounts;
     TimePoint m_updatedAt {};
     std::size_t m_vms = 1;
--- a/include/arbutuscrank/entry/settings.hpp
+++ b/include/arbutuscrank/entry/settings.hpp
@@ -20,6 +20,9 @@
     Duration retryWindow = std::chrono::seconds(10); ///< span over which retries are counted
     double retryRatio = 0.2; ///< retries per request over all VMs
     double retrySlack = 100; ///< retries in a span beyond the ratio, over all VMs
+    Duration quotaWindow = std::chrono::seconds(5); ///< span over which requests are counted against quotas
+    double quotaOverage = 0.1; ///< part of the granted requests by which they may be exceeded
+    double quotaSlack = 20; ///< requests on top of that
     double coldOverage = 1.5; ///< factor by which a cold target's rate may be exceeded within a second
     double coldSlack = 5; ///< requests on top of that
     Duration maxLookupTtl = std::chrono::seconds(5);
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -81,6 +81,7 @@
     std::optional<TimePoint> reportedAt;
     std::optional<TimePoint> tickedAt;
     bool storeAway = false;
+    std::optional<TimePoint> storeUpSince; ///< first answer after the last failure
     bool keyedRefused = false; ///< the configuration is too old to serve requests with keys
     std::optional<TimePoint> stopRequestedAt;
 };
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -59,7 +59,7 @@
     TimePoint ejectedUntil {};
     std::uint32_t ejections = 0; ///< in a row
     bool trialInFlight = false;
-    std::optional<TimePoint> removeAt; ///< missing from the store; removed then unless it is back
+    bool lapsed = false; ///< missing from the store; removed when the grace is over unless it is back
 
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return coldUntil && now < *coldUntil; }
     /// \brief Requests that probably run or wait at the target.
@@ -91,6 +91,9 @@
     /// \brief The store answered again.
     void storeAnswered(TimePoint now) noexcept;
 
+    /// \brief Other VMs have reached the store since a time. Entries that are missing have not lapsed after that.
+    void storeUpElsewhere(TimePoint since) noexcept;
+
     /// \brief Removes lapsed targets whose grace is over. \returns their ids
     std::vector<std::string> expire(TimePoint now);
 
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -83,6 +83,16 @@
     return member.heardAt && now - *member.heardAt < limit;
 }
 
+Duration MemberTable::storeUpElsewhere(TimePoint now) const noexcept
+{
+    Duration longest {};
+    for (const auto& [vm, member] : m_members) {
+        if (member.report && isHeard(member, now))
+            longest = std::max(longest, member.report->storeUpFor);
+    }
+    return longest;
+}
+
 std::vector<VmId> MemberTable::vmsOfRegion(std::string_view region) const
 {
     std::vector<VmId> vms;
--- a/src/entry/quota_sharing.cpp
+++ b/src/entry/quota_sharing.cpp
@@ -1,5 +1,7 @@
 #include <arbutuscrank/entry/quota_sharing.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,10 +17,8 @@
     constexpr double reportAgeSeconds = 0.35;
     /// Part of the rate that shares hand out. The rest covers shares that change while reports are under way.
     constexpr double sharedPart = 0.97;
-    /// Tokens of the fleet's bucket that only shares may use, as a part of the burst.
-    constexpr double reservedBurstPart = 0.1;
-    /// Tokens that shares may take beyond the fleet's bucket, as a part of the burst: reports lag behind spending.
-    constexpr double overdraftPart = 0.05;
+    /// Part of the tolerated excess that unreported spending may use up. The rest covers lost and late reports.
+    constexpr double usedTolerance = 0.4;
 
     MicroTokens microTokens(double tokens) { return static_cast<MicroTokens>(tokens * static_cast<double>(oneToken)); }
 
@@ -108,13 +108,18 @@
     }
 }
 
+double QuotaSharing::tolerance(const Account& account) const
+{
+    const double granted = account.rate * seconds(m_bounds.quotaWindow) + account.burst;
+    return usedTolerance * (m_bounds.quotaOverage * granted + m_bounds.quotaSlack);
+}
+
 double QuotaSharing::unseen(const Account& account) const
 {
     double perSecond = 0;
     for (const auto& [vm, peer] : account.peers)
         perSecond += std::max(peer.admittedPerSecond, peer.demand);
-    const double expected = perSecond * reportAgeSeconds;
-    return expected + 2 * std::sqrt(expected) + reservedBurstPart * account.burst;
+    return perSecond * reportAgeSeconds;
 }
 
 bool QuotaSharing::admit(const std::string& name, TimePoint now)
@@ -129,10 +134,11 @@
         return true;
     }
     refill(account, now);
-    if (account.fleetLevel < -overdraftPart * account.burst - 1)
+    const double tolerated = tolerance(account);
+    if (account.fleetLevel < -tolerated)
         return false;
     const bool fromShare = account.share.trySpend(oneToken, now);
-    const bool fromFleet = !fromShare && m_allHeard && account.fleetLevel - 1 >= unseen(account);
+    const bool fromFleet = !fromShare && m_allHeard && account.fleetLevel >= std::max(1.0, unseen(account) - tolerated);
     if (!fromShare && !fromFleet)
         return false;
     account.fleetLevel -= 1;
@@ -155,6 +161,19 @@
     return it == m_accounts.end() ? Duration::zero() : it->second.share.timeUntil(oneToken, now);
 }
 
+std::string QuotaSharing::describe(const std::string& name, TimePoint now)
+{
+    const auto it = m_accounts.find(name);
+    if (it == m_accounts.end())
+        return "unlimited";
+    auto& account = it->second;
+    const auto tokens = [](MicroTokens n) { return static_cast<double>(n) / static_cast<double>(oneToken); };
+    return fmt::format("rate={:.1f} burst={:.1f} fleet_level={:.1f} share_rate={:.2f} share_level={:.2f} demand={:.2f} "
+                       "all_heard={}",
+        account.rate, account.burst, account.fleetLevel, tokens(account.share.rate()),
+        tokens(account.share.level(now)), account.demand, m_allHeard);
+}
+
 std::map<std::string, AccountUse, std::less<>> QuotaSharing::use(TimePoint now)
 {
     std::map<std::string, AccountUse, std::less<>> out;
--- a/src/entry/reduce.cpp
+++ b/src/entry/reduce.cpp
@@ -6,6 +6,7 @@
     : settings(std::move(entrySettings))
     , random(seed)
     , selection(settings.region, settings.failureDomain, settings.bounds, seed + 1)
+    , quota(settings.bounds)
     , retries(settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack)
     , members(std::move(self))
 {
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -83,6 +83,7 @@
         .sequence = ++state.reportSequence,
         .ready = sendsCallersHere(state, now),
         .leaving = state.stopRequestedAt.has_value(),
+        .storeUpFor = state.storeUpSince ? now - *state.storeUpSince : Duration::zero(),
         .accounts = state.quota.use(now),
     };
     for (const auto& [service, demand] : state.demand)
@@ -103,14 +104,14 @@
         sendReport(state, now, out);
 }
 
-void apply(EntryState& state, const Tick&, TimePoint now, Effects& out)
+void apply(EntryState& state, const Tick& event, TimePoint now, Effects& out)
 {
     const double elapsed = state.tickedAt ? std::chrono::duration<double>(now - *state.tickedAt).count() : 0;
     state.tickedAt = now;
     if (elapsed > 0)
         updateDemand(state, elapsed);
     state.quota.updateShares(state.members, now);
-    state.selection.updateSplits(state.targets, demandByRegion(state, now), now);
+    state.selection.updateSplits(state.targets, demandByRegion(state, now), event.unixMs, now);
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
     for (const auto& id : state.targets.expire(now))
         out.push_back(WriteLog { LogEvent::TargetDrained, fmt::format("target={} cause=lapsed", id) });
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -11,6 +11,14 @@
     /// Margin of the withdrawal bound for clocks that run at slightly different speeds.
     constexpr Duration withdrawalMargin = std::chrono::milliseconds(200);
 
+    /// The store answered others before it answered this VM: then it was not down, this VM was cut off.
+    void noteStoreElsewhere(EntryState& state, TimePoint now)
+    {
+        const auto up = state.members.storeUpElsewhere(now);
+        if (up > Duration::zero())
+            state.targets.storeUpElsewhere(now - up);
+    }
+
     void logLeaving(std::string_view target, Effects& out)
     {
         out.push_back(WriteLog { LogEvent::TargetDraining, fmt::format("target={}", target) });
@@ -127,6 +135,7 @@
     if (!state.storeAway)
         out.push_back(WriteLog { LogEvent::StoreFailed, "peer=" + state.settings.storeAddress });
     state.storeAway = true;
+    state.storeUpSince.reset();
 }
 
 void apply(EntryState& state, const StoreAnswered&, TimePoint now, Effects& out)
@@ -135,6 +144,9 @@
     if (state.storeAway)
         out.push_back(WriteLog { LogEvent::StoreRecovered, "peer=" + state.settings.storeAddress });
     state.storeAway = false;
+    if (!state.storeUpSince)
+        state.storeUpSince = now;
+    noteStoreElsewhere(state, now);
 }
 
 } // namespace arbutuscrank::entry
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -5,19 +5,26 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <numeric>
 
 namespace arbutuscrank::entry {
 
 namespace {
 
-    /// Targets, in rendezvous order, that hold the same affinity value before load decides alone. Each one more is
-    /// another cache to warm up.
-    constexpr std::size_t affinityTargets = 3;
+    /// Load per slot up to which the first targets in rendezvous order are used before load decides alone. A short wait
+    /// at a target that holds the object takes less time than loading it at another one.
+    constexpr std::array affinityLoad { 1.5, 1.2, 1.0 };
     /// A region serves its own requests up to this multiple of the fleet's average load before it sends some away.
     constexpr double localPreference = 1.3;
     /// Change of a region's share per second. Two seconds of it stay below half of the allowed shift of 15%.
-    constexpr double splitStepPerSecond = 0.03;
+    constexpr double splitStepPerSecond = 0.05;
+    /// Age of a service's targets up to which their caches are filled by the whole fleet together.
+    constexpr double warmUpSeconds = 12;
+    /// Seeds of the two positions of an affinity value: among all regions, and between the fleet and this region.
+    constexpr std::uint64_t fleetSeed = 1;
+    constexpr std::uint64_t localSeed = 2;
     /// VMs that send to a cold target, so that the others need not share a rate of a few requests per second.
     constexpr std::size_t coldSenders = 2;
     /// Requests that a VM may send to a cold target at once.
@@ -43,6 +50,15 @@
         return -static_cast<double>(target.record.slots) / std::log(unit(mix(target.hash, affinityHash)));
     }
 
+    /// Part of the affinity values that may be loaded into a second region's caches, by the median age of the targets.
+    double warmedPart(std::vector<std::uint64_t>& startsMs, std::uint64_t unixMs)
+    {
+        const auto middle = startsMs.begin() + static_cast<std::ptrdiff_t>(startsMs.size() / 2);
+        std::nth_element(startsMs.begin(), middle, startsMs.end());
+        const double age = (static_cast<double>(unixMs) - static_cast<double>(*middle)) / 1000;
+        return std::clamp(splitStepPerSecond * (age - warmUpSeconds), 0.0, 1.0);
+    }
+
     bool takesCold(Target& target, TimePoint now)
     {
         return !target.isCold(now) || target.coldBucket.level(now) >= oneToken;
@@ -53,32 +69,28 @@
 std::string TargetSelection::chooseRegion(const Placement& placement, std::uint64_t affinityHash)
 {
     const auto split = m_splits.find(placement.service);
-    if (split == m_splits.end() || split->second.shares.empty())
+    if (split == m_splits.end())
         return m_region;
-    std::vector<std::pair<std::string, double>> shares;
-    double total = 0;
-    // The own region comes first, so that the values that leave it are the same while its share changes little.
-    const auto add = [&](const std::string& region, double share) {
-        if (!isAllowed(placement.routeRegions, region) || !isAllowed(placement.accountRegions, region))
-            return;
-        shares.emplace_back(region, share);
-        total += share;
+    const bool hasAffinity = !placement.affinity.empty();
+    const auto allowed = [&](const std::string& region) {
+        return isAllowed(placement.routeRegions, region) && isAllowed(placement.accountRegions, region);
     };
-    if (const auto own = split->second.shares.find(m_region); own != split->second.shares.end())
-        add(own->first, own->second);
-    for (const auto& [region, share] : split->second.shares) {
-        if (region != m_region)
-            add(region, share);
-    }
-    if (total <= 0)
-        return shares.empty() ? m_region : shares.front().first;
-    double position = (placement.affinity.empty() ? m_random.unit() : unit(mix(affinityHash, 1))) * total;
-    for (const auto& [region, share] : shares) {
-        if (position < share)
+    const auto& slots = split->second.slots;
+    const double localPosition = hasAffinity ? unit(mix(affinityHash, localSeed)) : m_random.unit();
+    if (localPosition < split->second.local && slots.contains(m_region) && allowed(m_region))
+        return m_region;
+    double total = 0;
+    for (const auto& [region, n] : slots)
+        total += allowed(region) ? n : 0;
+    double position = (hasAffinity ? unit(mix(affinityHash, fleetSeed)) : m_random.unit()) * total;
+    for (const auto& [region, n] : slots) {
+        if (!allowed(region))
+            continue;
+        if (position < n)
             return region;
-        position -= share;
+        position -= n;
     }
-    return shares.back().first;
+    return m_region;
 }
 
 std::vector<TargetSelection::Candidate> TargetSelection::collect(
@@ -135,9 +147,9 @@
     for (auto& it : candidates) {
         if (it.target->record.region != region)
             continue;
-        if (it.loadPerSlot < 1 && takesCold(*it.target, now))
+        if (it.loadPerSlot < affinityLoad[preferred] && takesCold(*it.target, now))
             return { .target = it.target };
-        if (++preferred == affinityTargets)
+        if (++preferred == affinityLoad.size())
             break;
     }
     const Candidate* best = nullptr;
@@ -154,69 +166,48 @@
     return { .target = best->target };
 }
 
-void TargetSelection::updateSplits(
-    const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand, TimePoint now)
+void TargetSelection::updateSplits(const TargetTable& targets,
+    const std::map<std::string, std::map<std::string, double>>& demand, std::uint64_t unixMs, TimePoint now)
 {
     std::map<std::string, std::map<std::string, double>> slots;
+    std::map<std::string, std::vector<std::uint64_t>> starts;
     for (const auto& [id, target] : targets.all()) {
-        if (targets.isInService(target) && target.ejection == Ejection::None)
-            slots[target.record.service][target.record.region] += target.record.slots;
+        if (!targets.isInService(target))
+            continue;
+        slots[target.record.service][target.record.region] += target.record.slots;
+        starts[target.record.service].push_back(target.record.startedAtMs);
     }
     std::erase_if(m_splits, [&](const auto& item) { return !slots.contains(item.first); });
-    for (const auto& [service, bySlots] : slots) {
-        const auto found = demand.find(service);
-        const auto demandOf = [&](const std::string& region) {
-            if (found == demand.end())
-                return 0.0;
-            const auto it = found->second.find(region);
-            return it == found->second.end() ? 0.0 : it->second;
-        };
-        double totalSlots = 0;
-        double totalDemand = 0;
-        for (const auto& [region, n] : bySlots)
-            totalSlots += n;
-        if (found != demand.end()) {
-            for (const auto& [region, perSecond] : found->second)
-                totalDemand += perSecond;
-        }
-        const auto limitOf = [&](double n) { return localPreference * totalDemand * n / totalSlots; };
-        std::map<std::string, double> wanted;
-        const double own = demandOf(m_region);
-        const auto ownSlots = bySlots.find(m_region);
-        const double local = ownSlots == bySlots.end() ? 0
-            : own <= 0                                 ? 1
-                                                       : std::min(1.0, limitOf(ownSlots->second) / own);
-        double spare = 0;
-        for (const auto& [region, n] : bySlots) {
-            if (region != m_region)
-                spare += std::max(0.0, limitOf(n) - demandOf(region)) + 1e-6;
-        }
-        for (const auto& [region, n] : bySlots) {
-            wanted[region] = region == m_region
-                ? local
-                : (1 - local) * (std::max(0.0, limitOf(n) - demandOf(region)) + 1e-6) / spare;
-        }
+    for (auto& [service, bySlots] : slots) {
         auto& split = m_splits[service];
-        const double elapsed = std::chrono::duration<double>(now - split.updatedAt).count();
-        const bool first = split.shares.empty() || totalDemand <= 0;
+        const bool first = split.slots.empty();
+        const double elapsed = first ? 0 : std::chrono::duration<double>(now - split.updatedAt).count();
+        const auto found = demand.find(service);
+        const double wanted = std::min(found == demand.end() ? 1.0 : localPart(bySlots, found->second),
+            warmedPart(starts[service], unixMs));
+        split.slots = std::move(bySlots);
         split.updatedAt = now;
-        if (first) {
-            // Without reported demand every region is taken to ask for the same.
-            split.shares.clear();
-            for (const auto& [region, n] : bySlots)
-                split.shares[region] = wanted[region];
-            continue;
-        }
-        double distance = 0;
-        for (const auto& [region, share] : wanted)
-            distance = std::max(distance, std::abs(share - split.shares[region]));
-        const double step = distance <= 0 ? 1 : std::min(1.0, splitStepPerSecond * elapsed / distance);
-        std::erase_if(split.shares, [&](const auto& item) { return !wanted.contains(item.first); });
-        for (const auto& [region, share] : wanted)
-            split.shares[region] += step * (share - split.shares[region]);
+        const double step = splitStepPerSecond * elapsed;
+        split.local = first ? wanted : std::clamp(wanted, split.local - step, split.local + step);
     }
 }
 
+double TargetSelection::localPart(
+    const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const
+{
+    const auto sum = [](const std::map<std::string, double>& values) {
+        return std::accumulate(values.begin(), values.end(), 0.0, [](double n, const auto& it) { return n + it.second; });
+    };
+    const auto own = demand.find(m_region);
+    const auto ownSlots = slots.find(m_region);
+    if (ownSlots == slots.end())
+        return 0;
+    if (own == demand.end() || own->second <= 0)
+        return 1;
+    const double limit = localPreference * sum(demand) * ownSlots->second / sum(slots);
+    return std::min(1.0, limit / own->second);
+}
+
 void TargetSelection::updateColdShares(
     TargetTable& targets, const PolicyIndex& policy, const MemberTable& members, TimePoint now)
 {
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -54,7 +54,7 @@
     }
     target.record = record;
     target.hash = XXH64(record.id.data(), record.id.size(), 0);
-    target.removeAt.reset();
+    target.lapsed = false;
     if (record.coldRemaining > Duration::zero())
         target.coldUntil = std::max(target.coldUntil.value_or(now), now + record.coldRemaining);
 }
@@ -96,8 +96,7 @@
         return false;
     const bool mayHaveLapsed = m_storeAway || (m_storeReturned && now < *m_storeReturned + lapseGrace);
     if (mayHaveLapsed && !it->second.record.draining) {
-        if (!it->second.removeAt)
-            it->second.removeAt = m_storeReturned.value_or(now) + lapseGrace;
+        it->second.lapsed = true;
         return false;
     }
     m_targets.erase(it);
@@ -112,14 +111,20 @@
     m_storeReturned = now;
 }
 
+void TargetTable::storeUpElsewhere(TimePoint since) noexcept
+{
+    if (m_storeReturned)
+        m_storeReturned = std::min(*m_storeReturned, since);
+}
+
 std::vector<std::string> TargetTable::expire(TimePoint now)
 {
     std::vector<std::string> gone;
-    if (m_storeAway)
+    if (m_storeAway || (m_storeReturned && now < *m_storeReturned + lapseGrace))
         return gone;
     std::erase_if(m_targets, [&](const auto& item) {
         const auto& [id, target] = item;
-        if (!target.removeAt || now < *target.removeAt)
+        if (!target.lapsed)
             return false;
         gone.push_back(id);
         return true;
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -29,12 +29,11 @@
     return "unknown";
 }
 
-CollectionReader::CollectionReader(asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection,
-    Duration wait, Handlers handlers)
+CollectionReader::CollectionReader(asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection, Pace pace, Handlers handlers)
     : m_store(std::move(store))
     , m_timer(context)
     , m_collection(collection)
-    , m_wait(wait)
+    , m_pace(pace)
     , m_handlers(std::move(handlers))
 {
 }
@@ -79,7 +78,7 @@
 void CollectionReader::watch()
 {
     const auto sentAt = currentTime();
-    m_store->watch(m_collection, m_revision, m_wait,
+    m_store->watch(m_collection, m_revision, m_pace.wait,
         [self = shared_from_this(), generation = m_generation, sentAt](Result<StoreChanges> result) {
             if (generation != self->m_generation)
                 return;
@@ -92,10 +91,22 @@
             for (const auto& change : result.value().changes)
                 self->m_handlers.changed(change);
             self->m_handlers.confirmed(sentAt);
-            self->watch();
+            if (result.value().changes.empty())
+                self->watch();
+            else
+                self->watchAfterPause();
         });
 }
 
+void CollectionReader::watchAfterPause()
+{
+    m_timer.expires_after(m_pace.pause);
+    m_timer.async_wait([self = shared_from_this(), generation = m_generation](SystemError ec) {
+        if (!ec && generation == self->m_generation)
+            self->watch();
+    });
+}
+
 void CollectionReader::retryLater(const Error& error)
 {
     scheduleList();
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -24,9 +24,14 @@
         std::function<void(const Error&)> failed; ///< a call was not answered
     };
 
-    /// \param wait longest time that a watch waits; an answer is due at its end
-    CollectionReader(asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection,
-        Duration wait, Handlers handlers);
+    /// \brief How a collection is watched.
+    struct Pace {
+        Duration wait {}; ///< longest time that a watch waits; an answer is due at its end
+        Duration pause {}; ///< time between a change and the next watch, which then reports all changes since
+    };
+
+    CollectionReader(asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection, Pace pace,
+        Handlers handlers);
 
     void start() { list({}); }
 
@@ -39,13 +44,14 @@
 private:
     void list(const std::string& after);
     void watch();
+    void watchAfterPause();
     void retryLater(const Error& error);
     void scheduleList();
 
     std::shared_ptr<ObjectStore> m_store;
     asio::steady_timer m_timer;
     Collection m_collection;
-    Duration m_wait;
+    Pace m_pace;
     Handlers m_handlers;
     std::vector<StoreObject> m_pages;
     std::uint64_t m_revision = 0;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -25,13 +25,17 @@
     /// Wait before a failed accept is tried again, so that a lack of descriptors does not spin.
     constexpr Duration acceptPause = milliseconds(50);
 
+    std::uint64_t unixTimeMs()
+    {
+        return static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / milliseconds(1));
+    }
+
     /// Start time in the high bits orders the runs of a VM; random bits tell apart runs of one millisecond.
     Incarnation newIncarnation()
     {
         constexpr unsigned randomBits = 22;
-        const auto now = std::chrono::system_clock::now().time_since_epoch() / milliseconds(1);
         std::random_device device;
-        return (static_cast<Incarnation>(now) << randomBits) | (device() & ((1U << randomBits) - 1));
+        return (unixTimeMs() << randomBits) | (device() & ((1U << randomBits) - 1));
     }
 
     entry::MemberRecord selfRecord(const entry::EntrySettings& settings)
@@ -196,11 +200,16 @@
     // reader shows: when it fails, all are read anew.
     const Duration policyWait = m_state.settings.bounds.withdrawal * 2 / 5;
     constexpr Duration longWait = std::chrono::seconds(25);
+    // Changes that come together, as at a start or a release, are read with one call.
+    constexpr Duration policyPause = milliseconds(20);
+    constexpr Duration pause = milliseconds(300);
     for (const auto collection :
         { Collection::Policy, Collection::Targets, Collection::Evacuations, Collection::Members }) {
-        const auto wait = collection == Collection::Policy ? policyWait : longWait;
+        const CollectionReader::Pace pace = collection == Collection::Policy
+            ? CollectionReader::Pace { policyWait, policyPause }
+            : CollectionReader::Pace { longWait, pause };
         auto reader = std::make_shared<CollectionReader>(
-            m_context, m_platform.store, collection, wait, readerHandlers(collection));
+            m_context, m_platform.store, collection, pace, readerHandlers(collection));
         m_readers.emplace(collection, reader);
         reader->start();
     }
@@ -362,7 +371,7 @@
 
 void EntryNode::tick()
 {
-    dispatch(entry::Tick {});
+    dispatch(entry::Tick { unixTimeMs() });
     m_log.flush(currentTime());
     if (m_state.stopRequestedAt)
         continueStop();
--- a/src/node/report_socket.cpp
+++ b/src/node/report_socket.cpp
@@ -28,6 +28,7 @@
         { "s", report.sequence },
         { "r", report.ready },
         { "l", report.leaving },
+        { "u", report.storeUpFor / std::chrono::milliseconds(1) },
         { "a", encodeAccounts(report) },
         { "d", report.serviceDemand },
     };
@@ -46,6 +47,7 @@
         report.sequence = message.at("s").get<std::uint64_t>();
         report.ready = message.at("r").get<bool>();
         report.leaving = message.at("l").get<bool>();
+        report.storeUpFor = std::chrono::milliseconds(message.at("u").get<std::int64_t>());
         for (const auto& [name, use] : message.at("a").items())
             report.accounts[name] = { use.at(0).get<std::uint64_t>(), use.at(1).get<double>() };
         for (const auto& [service, perSecond] : message.at("d").items())
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -19,7 +19,7 @@
             { "failureDomain", target.record.failureDomain },
             { "slots", target.record.slots },
             { "draining", target.record.draining },
-            { "lapsed", target.removeAt.has_value() },
+            { "lapsed", target.lapsed },
             { "cold", target.isCold(now) },
             { "inFlight", target.inFlight },
             { "load", target.load(now) },
@@ -67,7 +67,7 @@
     for (const auto& [vm, member] : state.members.others())
         out["members"].push_back(dumpMember(member, now));
     for (const auto& [service, split] : state.selection.splits())
-        out["regionSplits"][service] = split.shares;
+        out["regionSplits"][service] = { { "local", split.local }, { "slots", split.slots } };
     return out.dump(1);
 }
 
--- a/src/node/target_connections.cpp
+++ b/src/node/target_connections.cpp
@@ -12,9 +12,9 @@
 
     /// Part of the target's keep-alive time for which an idle connection is used: the target may close it while a
     /// request is on its way.
-    constexpr double usedKeepAlive = 0.7;
+    constexpr double usedKeepAlive = 0.85;
     /// Longest idle time of a connection that carries a request which must not run twice.
-    constexpr Duration atMostOnceIdle = std::chrono::seconds(3);
+    constexpr Duration atMostOnceIdle = std::chrono::seconds(6);
     constexpr Duration anyIdle = std::chrono::seconds(60);
     /// Idle connections kept to one target.
     constexpr std::size_t maxIdle = 16;
