--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -61,6 +61,12 @@
         return target;
     }
 
+    /// The caller's own value; the stored one begins with the route.
+    std::string_view affinityValue(const Request& request)
+    {
+        return std::string_view(request.affinity).substr(std::min(request.affinity.size(), request.route.size() + 1));
+    }
+
     Choice chooseTarget(EntryState& state, const Request& request, TimePoint now)
     {
         const Placement placement {
@@ -98,9 +104,10 @@
             .atMostOnce = !request.idempotent,
         });
         out.push_back(WriteLog { LogEvent::AttemptSent,
-            fmt::format("request={} attempt={} target={} service={} number={} load={:.1f}/{} cold={} trial={}",
-                request.callerId, attempt, target.record.id, request.service, request.attemptsSent, target.load(now),
-                target.record.slots, target.isCold(now), choice.trial) });
+            fmt::format("request={} attempt={} route={} affinity={} target={} service={} number={} load={:.1f}/{} "
+                        "cold={} trial={}",
+                request.callerId, attempt, request.route, affinityValue(request), target.record.id, request.service,
+                request.attemptsSent, target.load(now), target.record.slots, target.isCold(now), choice.trial) });
         const auto usual = usualDuration(state, request);
         if (request.idempotent && usual > Duration::zero()) {
             const auto delay
--- a/src/entry/quota_sharing.cpp
+++ b/src/entry/quota_sharing.cpp
@@ -170,8 +170,8 @@
     const auto tokens = [](MicroTokens n) { return static_cast<double>(n) / static_cast<double>(oneToken); };
     return fmt::format("rate={:.1f} burst={:.1f} fleet_level={:.1f} share_rate={:.2f} share_level={:.2f} demand={:.2f} "
                        "all_heard={}",
-        account.rate, account.burst, account.fleetLevel, tokens(account.share.rate()),
-        tokens(account.share.level(now)), account.demand, m_allHeard);
+        account.rate, account.burst, account.fleetLevel, tokens(account.share.rate()), tokens(account.share.level(now)),
+        account.demand, m_allHeard);
 }
 
 std::map<std::string, AccountUse, std::less<>> QuotaSharing::use(TimePoint now)
--- a/src/entry/reduce_requests.cpp
+++ b/src/entry/reduce_requests.cpp
@@ -102,7 +102,10 @@
         if (!state.quota.admit(account->name, now)) {
             const auto wait = std::clamp<Duration>(
                 state.quota.timeUntilToken(account->name, now), std::chrono::milliseconds(100), maxRetryAfter);
-            refuse(event, 429, "over-quota", wait, fmt::format("account={} version={} {}", account->name, version, state.quota.describe(account->name, now)), out);
+            refuse(event, 429, "over-quota", wait,
+                fmt::format(
+                    "account={} version={} {}", account->name, version, state.quota.describe(account->name, now)),
+                out);
             return;
         }
     }
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -183,8 +183,8 @@
         const bool first = split.slots.empty();
         const double elapsed = first ? 0 : std::chrono::duration<double>(now - split.updatedAt).count();
         const auto found = demand.find(service);
-        const double wanted = std::min(found == demand.end() ? 1.0 : localPart(bySlots, found->second),
-            warmedPart(starts[service], unixMs));
+        const double wanted = std::min(
+            found == demand.end() ? 1.0 : localPart(bySlots, found->second), warmedPart(starts[service], unixMs));
         split.slots = std::move(bySlots);
         split.updatedAt = now;
         const double step = splitStepPerSecond * elapsed;
@@ -196,7 +196,8 @@
     const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const
 {
     const auto sum = [](const std::map<std::string, double>& values) {
-        return std::accumulate(values.begin(), values.end(), 0.0, [](double n, const auto& it) { return n + it.second; });
+        return std::accumulate(
+            values.begin(), values.end(), 0.0, [](double n, const auto& it) { return n + it.second; });
     };
     const auto own = demand.find(m_region);
     const auto ownSlots = slots.find(m_region);
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -43,6 +43,7 @@
     ++m_generation;
     m_timer.cancel();
     m_pages.clear();
+    m_store->abandonReads(m_collection);
     list({});
 }
 
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -108,6 +108,16 @@
     finish(Error { code, std::string(step), m_peer, std::string(detail) });
 }
 
+void HttpChannel::abandon()
+{
+    ++m_generation;
+    m_timer.cancel();
+    close();
+    m_busy = false;
+    for (auto& call : std::exchange(m_calls, {}))
+        call.done(Error { ErrorCode::Unknown, "store.abandon", m_peer, "given up" });
+}
+
 void HttpChannel::close()
 {
     SystemError ec;
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -37,6 +37,9 @@
     /// Errors: Unavailable if no connection could be opened, Unknown and Timeout if the request may have been read.
     void call(Request request, Duration timeout, Handler done);
 
+    /// \brief Closes the connection. Calls under way and waiting end with Unknown.
+    void abandon();
+
 private:
     struct Call {
         Request request;
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -61,6 +61,10 @@
     /// \brief Waits for changes after a revision. Answers without changes when \p wait is over.
     virtual void watch(Collection collection, std::uint64_t revision, Duration wait, Handler<StoreChanges> done) = 0;
 
+    /// \brief Gives up the reads of a collection that are under way, with their connection: it may be dead.
+    /// Their handlers are called with Unknown.
+    virtual void abandonReads(Collection collection) = 0;
+
     /// \brief Creates an object, or replaces it if its revision is still the given one.
     /// \param revision 0 to create
     /// \returns the new revision
