Keep affinity under overload and share attempts under way among VMs

Change: a value uses at most three targets of its region; beyond their limit a request is refused at once; reports carry the attempts under way by target; the limit falls with the priority.

--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -38,6 +38,7 @@
     Duration storeUpFor {}; ///< time for which the store has answered all calls; zero while it does not
     std::map<std::string, AccountUse, std::less<>> accounts; ///< by account name
     std::map<std::string, double, std::less<>> serviceDemand; ///< requests per second by service
+    std::map<std::uint32_t, std::uint32_t> inFlight; ///< attempts under way by low half of the target's hash
 };
 
 /// \brief One other VM.
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -47,9 +47,9 @@
     TargetRecord record;
     std::uint64_t hash = 0; ///< of the id, for rendezvous hashing
     std::uint32_t inFlight = 0; ///< attempts of this VM
-    std::uint32_t othersLoad = 0; ///< requests of other VMs at the last report
-    TimePoint loadAt {};
-    bool loadKnown = false;
+    std::uint32_t othersLoad = 0; ///< requests of other VMs when the target last reported its load
+    std::optional<TimePoint> loadAt; ///< time of that report
+    std::uint32_t othersInFlight = 0; ///< attempts of other VMs as they last told
     std::optional<TimePoint> coldUntil;
     TokenBucket coldBucket; ///< this VM's part of the rate that the target bears while cold
     double failureShare = 0; ///< moving average over finished attempts, 0 to 1
@@ -61,6 +61,8 @@
     bool trialInFlight = false;
     bool lapsed = false; ///< missing from the store; removed when the grace is over unless it is back
 
+    /// \brief Short name of the target in reports between VMs.
+    [[nodiscard]] std::uint32_t reportKey() const noexcept { return static_cast<std::uint32_t>(hash); }
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return coldUntil && now < *coldUntil; }
     /// \brief Requests that probably run or wait at the target.
     [[nodiscard]] double load(TimePoint now) const noexcept;
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -25,11 +25,11 @@
     /// Retry-After of a refusal for want of room: targets free a slot within a few hundred milliseconds.
     constexpr Duration minRetryAfter = milliseconds(150);
     constexpr Duration retryAfterSpread = milliseconds(450);
-    /// Load per slot up to which requests are sent to a target that has to queue them, by rank of the request.
-    constexpr double importantMaxLoad = 2.0;
-    constexpr double normalMaxLoad = 1.6;
-    /// Rank from which a request counts as important.
-    constexpr std::uint32_t importantPriority = 1;
+    /// Load per slot up to which requests are sent to a target that has to queue them: of the first priority, how much
+    /// less for each further one, and at least.
+    constexpr double firstMaxLoad = 2.0;
+    constexpr double maxLoadStep = 0.4;
+    constexpr double leastMaxLoad = 1.1;
 
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -76,7 +76,7 @@
             .accountRegions = &request.accountRegions,
             .tried = &request.tried,
             .idempotent = request.idempotent,
-            .maxLoad = request.priority <= importantPriority ? importantMaxLoad : normalMaxLoad,
+            .maxLoad = std::max(leastMaxLoad, firstMaxLoad - maxLoadStep * request.priority),
         };
         return state.selection.choose(state.targets, placement, now);
     }
@@ -104,10 +104,12 @@
             .atMostOnce = !request.idempotent,
         });
         out.push_back(WriteLog { LogEvent::AttemptSent,
-            fmt::format("request={} attempt={} route={} affinity={} target={} service={} number={} load={:.1f}/{} "
-                        "cold={} trial={}",
+            fmt::format(
+                "request={} attempt={} route={} affinity={} target={} service={} number={} priority={} load={:.1f}/{} "
+                "cold={} trial={}",
                 request.callerId, attempt, request.route, affinityValue(request), target.record.id, request.service,
-                request.attemptsSent, target.load(now), target.record.slots, target.isCold(now), choice.trial) });
+                request.attemptsSent, request.priority, target.load(now), target.record.slots, target.isCold(now),
+                choice.trial) });
         const auto usual = usualDuration(state, request);
         if (request.idempotent && usual > Duration::zero()) {
             const auto delay
@@ -251,7 +253,6 @@
         // The report counts the answered request and this VM's others.
         target->othersLoad = all > target->inFlight + 1 ? all - target->inFlight - 1 : 0;
         target->loadAt = now;
-        target->loadKnown = true;
     }
     out.push_back(WriteLog { LogEvent::AttemptAnswered,
         fmt::format("request={} attempt={} target={} status={} taken_ms={:.0f}", request.callerId, event.attempt,
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -46,6 +46,19 @@
         return out;
     }
 
+    void updateOthersInFlight(EntryState& state, TimePoint now)
+    {
+        for (auto& [id, target] : state.targets.all()) {
+            target.othersInFlight = 0;
+            for (const auto& [vm, member] : state.members.others()) {
+                if (!member.report || !MemberTable::isHeard(member, now, MemberTable::reportLimit))
+                    continue;
+                const auto it = member.report->inFlight.find(target.reportKey());
+                target.othersInFlight += it == member.report->inFlight.end() ? 0 : it->second;
+            }
+        }
+    }
+
     /// The first of the VMs that are heard removes the registrations of those that are not.
     void forgetSilent(EntryState& state, TimePoint now, Effects& out)
     {
@@ -88,6 +101,10 @@
     };
     for (const auto& [service, demand] : state.demand)
         report.serviceDemand[service] = demand.perSecond;
+    for (const auto& [id, target] : state.targets.all()) {
+        if (target.inFlight != 0)
+            report.inFlight[target.reportKey()] = target.inFlight;
+    }
     out.push_back(SendReport { std::move(report) });
 }
 
@@ -111,6 +128,7 @@
     if (elapsed > 0)
         updateDemand(state, elapsed);
     state.quota.updateShares(state.members, now);
+    updateOthersInFlight(state, now);
     state.selection.updateSplits(state.targets, demandByRegion(state, now), event.unixMs, now);
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
     for (const auto& id : state.targets.expire(now))
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -15,7 +15,7 @@
 
     /// Load per slot up to which the first targets in rendezvous order are used before load decides alone. A short wait
     /// at a target that holds the object takes less time than loading it at another one.
-    constexpr std::array affinityLoad { 1.5, 1.2, 1.0 };
+    constexpr std::array affinityLoad { 1.2, 1.0, 1.0 };
     /// A region serves its own requests up to this multiple of the fleet's average load before it sends some away.
     constexpr double localPreference = 1.3;
     /// Change of a region's share per second. Two seconds of it stay below half of the allowed shift of 15%.
@@ -143,22 +143,19 @@
     });
     const auto region = chooseRegion(placement, affinityHash);
     std::ranges::sort(candidates, [](const auto& a, const auto& b) { return a.weight > b.weight; });
-    std::size_t preferred = 0;
-    for (auto& it : candidates) {
-        if (it.target->record.region != region)
+    if (std::ranges::any_of(candidates, [&](const auto& it) { return it.target->record.region == region; }))
+        std::erase_if(candidates, [&](const auto& it) { return it.target->record.region != region; });
+    // A target that gets all objects holds none of them: each cache would drop them before they are asked for again.
+    if (!placement.affinity.empty() && candidates.size() > affinityLoad.size())
+        candidates.resize(affinityLoad.size());
+    const Candidate* best = nullptr;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& it = candidates[i];
+        if (!takesCold(*it.target, now))
             continue;
-        if (it.loadPerSlot < affinityLoad[preferred] && takesCold(*it.target, now))
+        if (!placement.affinity.empty() && it.loadPerSlot < std::min(affinityLoad[i], placement.maxLoad))
             return { .target = it.target };
-        if (++preferred == affinityLoad.size())
-            break;
-    }
-    const Candidate* best = nullptr;
-    const auto cost = [&](const Candidate& it) {
-        // Another region is chosen only for a target that is clearly less loaded.
-        return it.loadPerSlot + (it.target->record.region == region ? 0.0 : 0.35);
-    };
-    for (const auto& it : candidates) {
-        if (it.loadPerSlot < placement.maxLoad && takesCold(*it.target, now) && (!best || cost(it) < cost(*best)))
+        if (it.loadPerSlot < placement.maxLoad && (!best || it.loadPerSlot < best->loadPerSlot))
             best = &it;
     }
     if (!best)
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /// Age past which another VM's share of a reported load says nothing any more. A request takes about this long.
-    constexpr Duration loadLifetime = std::chrono::milliseconds(800);
+    /// Age up to which a target's own report is newer than what the other VMs tell.
+    constexpr Duration loadLifetime = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -31,13 +31,8 @@
 double Target::load(TimePoint now) const noexcept
 {
     const auto own = static_cast<double>(inFlight);
-    if (!loadKnown)
-        return own;
-    const auto age = now - loadAt;
-    if (age >= loadLifetime)
-        return own;
-    const double weight = 1.0 - static_cast<double>(age.count()) / static_cast<double>(loadLifetime.count());
-    return own + static_cast<double>(othersLoad) * weight;
+    const bool reported = loadAt && now - *loadAt < loadLifetime;
+    return own + static_cast<double>(reported ? othersLoad : othersInFlight);
 }
 
 void TargetTable::setRecord(Target& target, const TargetRecord& record, TimePoint now)
@@ -49,7 +44,7 @@
         target.failureShare = 0;
         target.slowness = 1;
         target.samples = 0;
-        target.loadKnown = false;
+        target.loadAt.reset();
         target.coldUntil.reset();
     }
     target.record = record;
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -29,7 +29,8 @@
     return "unknown";
 }
 
-CollectionReader::CollectionReader(asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection, Pace pace, Handlers handlers)
+CollectionReader::CollectionReader(
+    asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection, Pace pace, Handlers handlers)
     : m_store(std::move(store))
     , m_timer(context)
     , m_collection(collection)
--- a/src/node/report_socket.cpp
+++ b/src/node/report_socket.cpp
@@ -18,6 +18,17 @@
         return out;
     }
 
+    /// Keys and counts in turn: shorter than a map of texts.
+    Json encodeInFlight(const entry::Report& report)
+    {
+        auto out = Json::array();
+        for (const auto& [target, n] : report.inFlight) {
+            out.push_back(target);
+            out.push_back(n);
+        }
+        return out;
+    }
+
 } // namespace
 
 std::string encodeReport(const entry::Report& report)
@@ -31,6 +42,7 @@
         { "u", report.storeUpFor / std::chrono::milliseconds(1) },
         { "a", encodeAccounts(report) },
         { "d", report.serviceDemand },
+        { "t", encodeInFlight(report) },
     };
     std::string out;
     Json::to_cbor(message, out);
@@ -52,6 +64,9 @@
             report.accounts[name] = { use.at(0).get<std::uint64_t>(), use.at(1).get<double>() };
         for (const auto& [service, perSecond] : message.at("d").items())
             report.serviceDemand[service] = perSecond.get<double>();
+        const auto inFlight = message.at("t").get<std::vector<std::uint32_t>>();
+        for (std::size_t i = 0; i + 1 < inFlight.size(); i += 2)
+            report.inFlight[inFlight[i]] = inFlight[i + 1];
         return report;
     } catch (const Json::exception& ec) {
         return Error { ErrorCode::Protocol, "report.decode", {}, ec.what() };
