Place each affinity value at two targets of one region, fixed by spare slots

Cause: objects are asked for in one region only, so the move of values from the fleet's region to the own one loaded each of them a second time; a third target for each value made the caches drop objects within seconds. Change: a fixed part of the values stays in the region, the others go to regions with room by weighted rendezvous hashing; two targets a value.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -132,9 +132,7 @@
 };
 
 /// \brief Comes several times a second.
-struct Tick {
-    std::uint64_t unixMs = 0; ///< time of day
-};
+struct Tick { };
 
 /// \brief The process was told to stop.
 struct StopRequested { };
--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -43,11 +43,10 @@
 
 /// \brief How one service's requests of this region are split among regions.
 ///
-/// Each affinity value has one region for the whole fleet, in proportion to the regions' slots, so that every object is
-/// loaded into few caches. A growing part of the values is served in the region where the request came in instead.
+/// A part of the affinity values stays in the region where requests come in; the others go to a region with room.
 struct RegionSplit {
-    std::map<std::string, double> slots; ///< by region
-    double local = 0; ///< part of the values that stay in this region, 0 to 1
+    double local = 0; ///< part of the values that stay, 0 to 1
+    std::map<std::string, double> spare; ///< room by region, relative to each other
     TimePoint updatedAt {};
 };
 
@@ -67,9 +66,8 @@
 
     /// \brief Recomputes how the region's requests are split among regions, from demand and slots.
     /// \param demand requests per second by service and region, as all VMs report them
-    /// \param unixMs time of day, for the targets' ages
-    void updateSplits(const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand,
-        std::uint64_t unixMs, TimePoint now);
+    void updateSplits(
+        const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand, TimePoint now);
 
     /// \brief Sets this VM's part of the rate of each cold target.
     void updateColdShares(TargetTable& targets, const PolicyIndex& policy, const MemberTable& members, TimePoint now);
@@ -83,7 +81,7 @@
         double loadPerSlot = 0;
     };
 
-    [[nodiscard]] double localPart(
+    [[nodiscard]] RegionSplit wantedSplit(
         const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const;
     [[nodiscard]] std::string chooseRegion(const Placement& placement, std::uint64_t affinityHash);
     [[nodiscard]] std::vector<Candidate> collect(
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -18,7 +18,7 @@
     /// Part of the withdrawal bound after which callers are sent to other VMs, before requests are refused.
     constexpr double staleLookupPart = 0.6;
     /// Time constant of the demand that splits between regions follow.
-    constexpr double demandSmoothingSeconds = 3;
+    constexpr double demandSmoothingSeconds = 6;
     /// A VM that was silent for this long is taken as removed. Restarts and cuts are over sooner; a VM that is only
     /// cut off registers again when it sees that its registration is gone.
     constexpr Duration forgetAfter = std::chrono::seconds(12);
@@ -121,7 +121,7 @@
         sendReport(state, now, out);
 }
 
-void apply(EntryState& state, const Tick& event, TimePoint now, Effects& out)
+void apply(EntryState& state, const Tick&, TimePoint now, Effects& out)
 {
     const double elapsed = state.tickedAt ? std::chrono::duration<double>(now - *state.tickedAt).count() : 0;
     state.tickedAt = now;
@@ -129,7 +129,7 @@
         updateDemand(state, elapsed);
     state.quota.updateShares(state.members, now);
     updateOthersInFlight(state, now);
-    state.selection.updateSplits(state.targets, demandByRegion(state, now), event.unixMs, now);
+    state.selection.updateSplits(state.targets, demandByRegion(state, now), now);
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
     for (const auto& id : state.targets.expire(now))
         out.push_back(WriteLog { LogEvent::TargetDrained, fmt::format("target={} cause=lapsed", id) });
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <numeric>
 
 namespace arbutuscrank::entry {
 
@@ -15,15 +14,16 @@
 
     /// Load per slot up to which the first targets in rendezvous order are used before load decides alone. A short wait
     /// at a target that holds the object takes less time than loading it at another one.
-    constexpr std::array affinityLoad { 1.2, 1.0, 1.0 };
+    constexpr std::array affinityLoad { 1.5, 1.3 };
     /// A region serves its own requests up to this multiple of the fleet's average load before it sends some away.
-    constexpr double localPreference = 1.3;
+    constexpr double localPreference = 1.1;
     /// Change of a region's share per second. Two seconds of it stay below half of the allowed shift of 15%.
     constexpr double splitStepPerSecond = 0.05;
-    /// Age of a service's targets up to which their caches are filled by the whole fleet together.
-    constexpr double warmUpSeconds = 12;
-    /// Seeds of the two positions of an affinity value: among all regions, and between the fleet and this region.
-    constexpr std::uint64_t fleetSeed = 1;
+    /// Difference of the wanted local part that is left alone: each value that moves has to be loaded anew.
+    constexpr double localDeadBand = 0.08;
+    /// Room that a region without spare slots counts with, as a part of its slots.
+    constexpr double minSpare = 0.02;
+    /// Seed of the position that decides whether an affinity value stays in its region.
     constexpr std::uint64_t localSeed = 2;
     /// VMs that send to a cold target, so that the others need not share a rate of a few requests per second.
     constexpr std::size_t coldSenders = 2;
@@ -50,15 +50,6 @@
         return -static_cast<double>(target.record.slots) / std::log(unit(mix(target.hash, affinityHash)));
     }
 
-    /// Part of the affinity values that may be loaded into a second region's caches, by the median age of the targets.
-    double warmedPart(std::vector<std::uint64_t>& startsMs, std::uint64_t unixMs)
-    {
-        const auto middle = startsMs.begin() + static_cast<std::ptrdiff_t>(startsMs.size() / 2);
-        std::nth_element(startsMs.begin(), middle, startsMs.end());
-        const double age = (static_cast<double>(unixMs) - static_cast<double>(*middle)) / 1000;
-        return std::clamp(splitStepPerSecond * (age - warmUpSeconds), 0.0, 1.0);
-    }
-
     bool takesCold(Target& target, TimePoint now)
     {
         return !target.isCold(now) || target.coldBucket.level(now) >= oneToken;
@@ -75,22 +66,24 @@
     const auto allowed = [&](const std::string& region) {
         return isAllowed(placement.routeRegions, region) && isAllowed(placement.accountRegions, region);
     };
-    const auto& slots = split->second.slots;
-    const double localPosition = hasAffinity ? unit(mix(affinityHash, localSeed)) : m_random.unit();
-    if (localPosition < split->second.local && slots.contains(m_region) && allowed(m_region))
+    const auto& spare = split->second.spare;
+    const double position = hasAffinity ? unit(mix(affinityHash, localSeed)) : m_random.unit();
+    if (spare.contains(m_region) && allowed(m_region) && position < split->second.local)
         return m_region;
-    double total = 0;
-    for (const auto& [region, n] : slots)
-        total += allowed(region) ? n : 0;
-    double position = (hasAffinity ? unit(mix(affinityHash, fleetSeed)) : m_random.unit()) * total;
-    for (const auto& [region, n] : slots) {
-        if (!allowed(region))
+    // Weighted rendezvous hashing: when a region's room changes, only the values move that have to.
+    std::string best = m_region;
+    double bestWeight = -1;
+    const auto seed = hasAffinity ? affinityHash : m_random.next();
+    for (const auto& [region, room] : spare) {
+        if (region == m_region || !allowed(region))
             continue;
-        if (position < n)
-            return region;
-        position -= n;
+        const double weight = -room / std::log(unit(mix(seed, XXH64(region.data(), region.size(), 0))));
+        if (weight > bestWeight) {
+            best = region;
+            bestWeight = weight;
+        }
     }
-    return m_region;
+    return best;
 }
 
 std::vector<TargetSelection::Candidate> TargetSelection::collect(
@@ -163,47 +156,56 @@
     return { .target = best->target };
 }
 
-void TargetSelection::updateSplits(const TargetTable& targets,
-    const std::map<std::string, std::map<std::string, double>>& demand, std::uint64_t unixMs, TimePoint now)
+void TargetSelection::updateSplits(
+    const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand, TimePoint now)
 {
     std::map<std::string, std::map<std::string, double>> slots;
-    std::map<std::string, std::vector<std::uint64_t>> starts;
     for (const auto& [id, target] : targets.all()) {
-        if (!targets.isInService(target))
-            continue;
-        slots[target.record.service][target.record.region] += target.record.slots;
-        starts[target.record.service].push_back(target.record.startedAtMs);
+        if (targets.isInService(target))
+            slots[target.record.service][target.record.region] += target.record.slots;
     }
     std::erase_if(m_splits, [&](const auto& item) { return !slots.contains(item.first); });
-    for (auto& [service, bySlots] : slots) {
+    static const std::map<std::string, double> noDemand;
+    for (const auto& [service, bySlots] : slots) {
+        const auto found = demand.find(service);
         auto& split = m_splits[service];
-        const bool first = split.slots.empty();
+        const auto wanted = wantedSplit(bySlots, found == demand.end() ? noDemand : found->second);
+        const bool first = split.spare.empty();
         const double elapsed = first ? 0 : std::chrono::duration<double>(now - split.updatedAt).count();
-        const auto found = demand.find(service);
-        const double wanted = std::min(
-            found == demand.end() ? 1.0 : localPart(bySlots, found->second), warmedPart(starts[service], unixMs));
-        split.slots = std::move(bySlots);
-        split.updatedAt = now;
         const double step = splitStepPerSecond * elapsed;
-        split.local = first ? wanted : std::clamp(wanted, split.local - step, split.local + step);
+        split.updatedAt = now;
+        if (first)
+            split.local = wanted.local;
+        else if (std::abs(wanted.local - split.local) > localDeadBand)
+            split.local = std::clamp(wanted.local, split.local - step, split.local + step);
+        split.spare = wanted.spare;
     }
 }
 
-double TargetSelection::localPart(
+RegionSplit TargetSelection::wantedSplit(
     const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const
 {
-    const auto sum = [](const std::map<std::string, double>& values) {
-        return std::accumulate(
-            values.begin(), values.end(), 0.0, [](double n, const auto& it) { return n + it.second; });
+    double totalSlots = 0;
+    double totalDemand = 0;
+    for (const auto& [region, n] : slots)
+        totalSlots += n;
+    for (const auto& [region, perSecond] : demand)
+        totalDemand += perSecond;
+    const auto demandOf = [&](const std::string& region) {
+        const auto it = demand.find(region);
+        // Without reported demand every region with targets is taken to ask for the same.
+        return totalDemand <= 0 ? 1.0 / static_cast<double>(slots.size()) : it == demand.end() ? 0 : it->second;
     };
-    const auto own = demand.find(m_region);
-    const auto ownSlots = slots.find(m_region);
-    if (ownSlots == slots.end())
-        return 0;
-    if (own == demand.end() || own->second <= 0)
-        return 1;
-    const double limit = localPreference * sum(demand) * ownSlots->second / sum(slots);
-    return std::min(1.0, limit / own->second);
+    const double all = totalDemand <= 0 ? 1 : totalDemand;
+    RegionSplit split;
+    for (const auto& [region, n] : slots) {
+        const double fair = localPreference * all * n / totalSlots;
+        const double own = demandOf(region);
+        if (region == m_region)
+            split.local = own <= fair ? 1 : fair / own;
+        split.spare[region] = std::max(minSpare * n / totalSlots, (fair - own) / all);
+    }
+    return split;
 }
 
 void TargetSelection::updateColdShares(
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -371,7 +371,7 @@
 
 void EntryNode::tick()
 {
-    dispatch(entry::Tick { unixTimeMs() });
+    dispatch(entry::Tick {});
     m_log.flush(currentTime());
     if (m_state.stopRequestedAt)
         continueStop();
