--- a/include/arbutuscrank/entry/quota_sharing.hpp
+++ b/include/arbutuscrank/entry/quota_sharing.hpp
@@ -17,9 +17,9 @@
 
 /// \brief This VM's admission to the accounts' quotas.
 ///
-/// Each VM knows from the others' reports how much they have admitted. While all are heard and the fleet's bucket has
-/// tokens beyond what may be under way unseen, a request is admitted from the fleet's bucket. Otherwise it needs a
-/// token of this VM's share, which follows the VM's part of the demand. A silent VM keeps the share that it had.
+/// Each VM knows from the others' reports how much they have admitted. A request takes a token of this VM's share,
+/// which follows the VM's part of the demand, or, while all VMs are heard, of the fleet's bucket. Between two reports a
+/// VM takes no more than its part of that bucket. A silent VM keeps the share that it had.
 class QuotaSharing {
 public:
     explicit QuotaSharing(const Bounds& bounds)
@@ -48,8 +48,11 @@
     /// \brief Rate, burst, shares and levels of an account, for log lines.
     [[nodiscard]] std::string describe(const std::string& account, TimePoint now);
 
-    /// \brief Counters for this VM's own report.
-    [[nodiscard]] std::map<std::string, AccountUse, std::less<>> use(TimePoint now);
+    /// \brief Counters for this VM's own report, which is about to be sent.
+    [[nodiscard]] std::map<std::string, AccountUse, std::less<>> takeUse(TimePoint now);
+
+    /// \brief Whether requests were refused that could be admitted once this VM has reported what it spent.
+    [[nodiscard]] bool wantsReport() const noexcept { return m_wantsReport; }
 
     /// \brief Whether some account has less than half of its burst left, so that reports should come faster.
     [[nodiscard]] bool isPressed() const noexcept;
@@ -59,7 +62,6 @@
         Incarnation incarnation = 0;
         std::uint64_t admitted = 0;
         double demand = 0;
-        double admittedPerSecond = 0;
         TimePoint at {};
     };
     struct Account {
@@ -68,6 +70,7 @@
         std::uint64_t admitted = 0;
         double demand = 0; ///< smoothed requests per second
         double asked = 0; ///< requests since the last update
+        std::uint64_t unreported = 0; ///< tokens taken from the fleet's bucket since the last report
         double fleetLevel = 0; ///< tokens of the fleet's bucket as this VM knows it
         TimePoint fleetAt {};
         TokenBucket share;
@@ -75,7 +78,9 @@
     };
 
     void refill(Account& account, TimePoint now) const;
-    [[nodiscard]] double unseen(const Account& account) const; ///< tokens that others may have spent since their reports
+    /// Tokens of the fleet's bucket that this VM may spend before it reports them: its part of what is left, so that
+    /// the sum over all VMs keeps to the bucket and the tolerance.
+    [[nodiscard]] double unreportedLimit(const Account& account) const;
     [[nodiscard]] double tolerance(const Account& account) const; ///< tokens that may be spent beyond the bucket
 
     Bounds m_bounds;
@@ -83,6 +88,7 @@
     TimePoint m_updatedAt {};
     std::size_t m_vms = 1;
     bool m_allHeard = false;
+    bool m_wantsReport = false;
 };
 
 } // namespace arbutuscrank::entry
--- a/src/entry/quota_sharing.cpp
+++ b/src/entry/quota_sharing.cpp
@@ -13,8 +13,6 @@
     constexpr double demandSmoothingSeconds = 1.5;
     /// Demand that each VM counts at least, as a part of an equal split of the rate, so that an idle VM keeps a share.
     constexpr double baseDemandPart = 0.25;
-    /// Age of a report when the next one arrives: the interval of reports plus the longest way between regions.
-    constexpr double reportAgeSeconds = 0.35;
     /// Part of the rate that shares hand out. The rest covers shares that change while reports are under way.
     constexpr double sharedPart = 0.97;
     /// Part of the tolerated excess that unreported spending may use up. The rest covers lost and late reports.
@@ -37,6 +35,10 @@
             refill(account, now);
         } else {
             account.fleetAt = now;
+            // An earlier run of this VM, or of all VMs, may have spent the burst and what is tolerated beyond it.
+            account.rate = wanted.ratePerSecond;
+            account.burst = wanted.burst;
+            account.fleetLevel = -tolerance(account);
         }
         account.rate = wanted.ratePerSecond;
         account.burst = wanted.burst;
@@ -71,8 +73,6 @@
             // The first report that is heard of a process says nothing of when its requests came.
             if (known || peer.incarnation != 0) {
                 account.fleetLevel -= spent;
-                const double elapsed = std::max(0.05, seconds(now - peer.at));
-                peer.admittedPerSecond = spent / elapsed;
             }
         }
         peer.incarnation = report.process.incarnation;
@@ -114,12 +114,10 @@
     return usedTolerance * (m_bounds.quotaOverage * granted + m_bounds.quotaSlack);
 }
 
-double QuotaSharing::unseen(const Account& account) const
+double QuotaSharing::unreportedLimit(const Account& account) const
 {
-    double perSecond = 0;
-    for (const auto& [vm, peer] : account.peers)
-        perSecond += std::max(peer.admittedPerSecond, peer.demand);
-    return perSecond * reportAgeSeconds;
+    const double available = account.fleetLevel + static_cast<double>(account.unreported) + tolerance(account);
+    return std::max(1.0, available / static_cast<double>(m_vms));
 }
 
 bool QuotaSharing::admit(const std::string& name, TimePoint now)
@@ -134,13 +132,16 @@
         return true;
     }
     refill(account, now);
-    const double tolerated = tolerance(account);
-    if (account.fleetLevel < -tolerated)
+    if (account.fleetLevel < -tolerance(account))
         return false;
     const bool fromShare = account.share.trySpend(oneToken, now);
-    const bool fromFleet = !fromShare && m_allHeard && account.fleetLevel >= std::max(1.0, unseen(account) - tolerated);
-    if (!fromShare && !fromFleet)
-        return false;
+    if (!fromShare) {
+        const bool withinLimit = account.unreported + 1 <= unreportedLimit(account);
+        m_wantsReport = m_wantsReport || !withinLimit;
+        if (!m_allHeard || account.fleetLevel < 1 || !withinLimit)
+            return false;
+        ++account.unreported;
+    }
     account.fleetLevel -= 1;
     ++account.admitted;
     return true;
@@ -174,11 +175,13 @@
         account.demand, m_allHeard);
 }
 
-std::map<std::string, AccountUse, std::less<>> QuotaSharing::use(TimePoint now)
+std::map<std::string, AccountUse, std::less<>> QuotaSharing::takeUse(TimePoint now)
 {
+    m_wantsReport = false;
     std::map<std::string, AccountUse, std::less<>> out;
     for (auto& [name, account] : m_accounts) {
         refill(account, now);
+        account.unreported = 0;
         out[name] = { .admitted = account.admitted, .demand = account.demand };
     }
     return out;
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -97,7 +97,7 @@
         .ready = sendsCallersHere(state, now),
         .leaving = state.stopRequestedAt.has_value(),
         .storeUpFor = state.storeUpSince ? now - *state.storeUpSince : Duration::zero(),
-        .accounts = state.quota.use(now),
+        .accounts = state.quota.takeUse(now),
     };
     for (const auto& [service, demand] : state.demand)
         report.serviceDemand[service] = demand.perSecond;
