--- /dev/null
+++ b/tests/entry/members_test.cpp
@@ -0,0 +1,100 @@
+#include "entry/entry_harness.hpp"
+
+#include <gtest/gtest.h>
+
+namespace arbutuscrank::entry::test {
+
+namespace {
+
+    MemberRecord makeMember(const std::string& vm, const std::string& region, const std::string& failureDomain)
+    {
+        return { .process = { vm, 0 },
+            .region = region,
+            .failureDomain = failureDomain,
+            .callerAddress = vm + ":80",
+            .reportAddress = vm + ":90" };
+    }
+
+    struct Lookups : testing::Test {
+        Lookups()
+        {
+            members.applySnapshot({ makeMember("a2", "north", "north-a"), makeMember("b1", "north", "north-b"),
+                                      makeMember("s1", "south", "south-a") },
+                now);
+        }
+
+        void hear(const std::string& vm, bool ready = true, bool leaving = false)
+        {
+            (void)members.applyReport(
+                { .process = { vm, 1 }, .sequence = ++sequence, .ready = ready, .leaving = leaving }, now);
+        }
+
+        std::vector<std::string> lookUp(const std::vector<std::string>& homes = {}, bool selfReady = true)
+        {
+            return answerLookup(members, "north", "north-a", homes, selfReady, seconds(5), now).addresses;
+        }
+
+        TimePoint now { std::chrono::hours(1) };
+        MemberTable members { makeMember("a1", "north", "north-a") };
+        std::uint64_t sequence = 0;
+    };
+
+    using Addresses = std::vector<std::string>;
+
+} // namespace
+
+TEST_F(Lookups, NameTheFailureDomainOfTheCaller)
+{
+    hear("a2");
+    hear("b1");
+    hear("s1");
+    EXPECT_EQ(lookUp(), (Addresses { "a1:80", "a2:80" }));
+}
+
+// Guards against callers that are left with one VM, which may just be failing.
+TEST_F(Lookups, AddTheRegionToASingleVm)
+{
+    hear("b1");
+    EXPECT_EQ(lookUp(), (Addresses { "a1:80", "b1:80" }));
+}
+
+// Guards against VMs that have ended, are stopping, or have read nothing yet.
+TEST_F(Lookups, LeaveOutVmsThatTakeNoCallers)
+{
+    hear("a2");
+    hear("b1", false);
+    hear("s1", true, true);
+    now += MemberTable::silenceLimit;
+    hear("b1", false);
+    hear("s1", true, true);
+    EXPECT_EQ(lookUp(), (Addresses { "a1:80" }));
+}
+
+// Guards against look-ups that send callers out of the regions that may see their requests.
+TEST_F(Lookups, KeepToTheHomesWhileOneIsThere)
+{
+    hear("s1");
+    EXPECT_EQ(lookUp({ "south" }, false), (Addresses { "s1:80" }));
+    EXPECT_EQ(lookUp({ "west" }, false), (Addresses { "s1:80" })); // any VM rather than none
+}
+
+// Guards against a late datagram of an earlier run that replaces what the present one says.
+TEST_F(Lookups, IgnoreOldReports)
+{
+    EXPECT_TRUE(members.applyReport({ .process = { "a2", 5 }, .sequence = 3, .ready = true }, now));
+    EXPECT_FALSE(members.applyReport({ .process = { "a2", 5 }, .sequence = 2, .ready = false }, now));
+    EXPECT_FALSE(members.applyReport({ .process = { "a2", 4 }, .sequence = 9, .ready = false }, now));
+    EXPECT_FALSE(members.applyReport({ .process = { "unknown", 1 }, .sequence = 1 }, now));
+    EXPECT_TRUE(members.others().at("a2").report->ready);
+}
+
+// Guards against a fleet that waits for ever for a VM which was removed for good.
+TEST_F(Lookups, ForgetAVmOnceAfterLongSilence)
+{
+    hear("a2");
+    EXPECT_FALSE(members.takeForgetTurn("a2", seconds(12), now + seconds(11)));
+    EXPECT_TRUE(members.takeForgetTurn("a2", seconds(12), now + seconds(12)));
+    EXPECT_FALSE(members.takeForgetTurn("a2", seconds(12), now + seconds(13)));
+}
+
+} // namespace arbutuscrank::entry::test
--- /dev/null
+++ b/tests/entry/requests_failure_test.cpp
@@ -0,0 +1,180 @@
+#include "entry/entry_harness.hpp"
+
+#include <gtest/gtest.h>
+
+namespace arbutuscrank::entry::test {
+
+namespace {
+
+    struct EntryFailures : testing::Test {
+        EntryFailures() { entry.useTargets({ makeTarget("t1"), makeTarget("t2"), makeTarget("t3") }); }
+
+        void fail(AttemptProgress progress)
+        {
+            const auto sent = *entry.last<SendAttempt>();
+            entry.handle(AttemptFailed { sent.request, sent.attempt, progress, "test" });
+        }
+
+        void answer(AnswerKind kind, std::uint32_t status, bool deliverable)
+        {
+            const auto sent = *entry.last<SendAttempt>();
+            entry.handle(AttemptAnswered { .request = sent.request,
+                .attempt = sent.attempt,
+                .kind = kind,
+                .status = status,
+                .deliverable = deliverable });
+        }
+
+        Entry entry;
+    };
+
+} // namespace
+
+// Guards against a second run of a request that must run at most once.
+TEST_F(EntryFailures, AtMostOnceIsNotSentAgainAfterItWasSent)
+{
+    entry.request("/write/1");
+    fail(AttemptProgress::Sent);
+    EXPECT_EQ(entry.count<SendAttempt>(), 1U);
+    ASSERT_TRUE(entry.last<AnswerOwn>());
+    EXPECT_EQ(entry.last<AnswerOwn>()->status, 502U); // 503 would say that it has not run
+}
+
+TEST_F(EntryFailures, AtMostOnceIsSentAgainWhenNothingWasSent)
+{
+    entry.request("/write/1");
+    const auto first = entry.last<SendAttempt>()->target;
+    fail(AttemptProgress::NotConnected);
+    EXPECT_EQ(entry.count<SendAttempt>(), 2U);
+    EXPECT_NE(entry.last<SendAttempt>()->target, first);
+}
+
+TEST_F(EntryFailures, AtMostOnceIsSentAgainWhenTheTargetDidNotRunIt)
+{
+    entry.request("/write/1");
+    answer(AnswerKind::NotRun, 503, false);
+    EXPECT_EQ(entry.count<SendAttempt>(), 2U);
+}
+
+// Guards against a failure that the caller sees while another target could answer.
+TEST_F(EntryFailures, IdempotentIsSentAgain)
+{
+    entry.request("/read/1");
+    fail(AttemptProgress::Sent);
+    EXPECT_EQ(entry.count<SendAttempt>(), 2U);
+    answer(AnswerKind::Complete, 200, true);
+    EXPECT_TRUE(entry.last<DeliverAnswer>());
+}
+
+// Guards against more targets than the route allows.
+TEST_F(EntryFailures, KeepsToTheAttemptsOfTheRoute)
+{
+    entry.request("/read/1");
+    for (int i = 0; i < 5; ++i)
+        fail(AttemptProgress::Sent);
+    EXPECT_EQ(entry.count<SendAttempt>(), 3U);
+    EXPECT_EQ(entry.count<AnswerOwn>(), 1U);
+}
+
+// Guards against a failure of this VM's own in place of the target's answer.
+TEST_F(EntryFailures, DeliversTheTargetsFailure)
+{
+    entry.request("/write/1");
+    answer(AnswerKind::Failure, 500, true);
+    ASSERT_TRUE(entry.last<DeliverAnswer>());
+    EXPECT_EQ(entry.count<AnswerOwn>(), 0U);
+}
+
+// Guards against the words "not run" for a request that a target has run.
+TEST_F(EntryFailures, FailureWithoutSignatureIsUnknown)
+{
+    entry.request("/write/1");
+    answer(AnswerKind::Failure, 503, false);
+    ASSERT_TRUE(entry.last<AnswerOwn>());
+    EXPECT_EQ(entry.last<AnswerOwn>()->status, 502U);
+}
+
+// Guards against an idempotent request that waits for a target which does not answer.
+TEST_F(EntryFailures, HedgesASlowAttempt)
+{
+    entry.request("/read/1");
+    entry.now += milliseconds(100);
+    answer(AnswerKind::Complete, 200, true);
+    entry.effects.clear();
+    const auto id = entry.request("/read/1");
+    ASSERT_TRUE(entry.last<SetHedge>());
+    entry.now = entry.last<SetHedge>()->at;
+    entry.handle(HedgeDue { id });
+    EXPECT_EQ(entry.count<SendAttempt>(), 2U);
+    answer(AnswerKind::Complete, 200, true);
+    EXPECT_TRUE(entry.last<DeliverAnswer>());
+    EXPECT_EQ(entry.count<CancelAttempt>(), 1U); // the slow one
+}
+
+// Guards against requests with a withdrawn key at a VM that cannot know of the withdrawal.
+TEST_F(EntryFailures, RefusesKeysWhenTheConfigurationIsTooOld)
+{
+    entry.now += entry.state.settings.bounds.withdrawal;
+    entry.request("/read/1");
+    ASSERT_TRUE(entry.last<AnswerOwn>());
+    EXPECT_EQ(entry.last<AnswerOwn>()->status, 503U);
+    EXPECT_EQ(entry.last<AnswerOwn>()->reason, "configuration-stale");
+    entry.request("/open/1", "");
+    EXPECT_EQ(entry.count<SendAttempt>(), 1U);
+}
+
+// Guards against callers that are sent to a VM which will soon refuse them.
+TEST_F(EntryFailures, TellsTheFleetBeforeItsConfigurationIsTooOld)
+{
+    entry.now += seconds(3) + milliseconds(100); // 0.6 of the bound
+    entry.handle(Tick {});
+    ASSERT_TRUE(entry.last<SendReport>());
+    EXPECT_FALSE(entry.last<SendReport>()->report.ready);
+}
+
+// Guards against a retry storm: repeats stay below their share of the requests.
+TEST_F(EntryFailures, KeepsToTheRetryBudget)
+{
+    entry.state.retries.setFleetSize(100);
+    std::size_t repeats = 0;
+    for (int i = 0; i < 200; ++i) {
+        entry.effects.clear();
+        entry.request("/read/" + std::to_string(i));
+        while (entry.count<AnswerOwn>() == 0)
+            fail(AttemptProgress::Sent);
+        repeats += entry.count<SendAttempt>() - std::min<std::size_t>(1, entry.count<SendAttempt>());
+    }
+    EXPECT_LE(static_cast<double>(repeats),
+        entry.state.settings.bounds.retryRatio * 200 + entry.state.settings.bounds.retrySlack / 100);
+}
+
+// Guards against new requests at a target that is leaving or whose failure domain is evacuated.
+TEST_F(EntryFailures, SendsNothingToLeavingTargets)
+{
+    auto leaving = makeTarget("t1");
+    leaving.draining = true;
+    entry.handle(TargetChanged { leaving });
+    EXPECT_EQ(entry.last<CloseIdle>()->target, "t1");
+    entry.handle(TargetRemoved { "t2" });
+    for (int i = 0; i < 10; ++i) {
+        const auto id = entry.request("/read/" + std::to_string(i));
+        EXPECT_EQ(entry.last<SendAttempt>()->target, "t3");
+        entry.handle(CallerLeft { id });
+    }
+    entry.effects.clear();
+    entry.handle(EvacuationsChanged { { "north-a" } });
+    entry.request("/read/1");
+    EXPECT_EQ(entry.count<SendAttempt>(), 0U);
+}
+
+// Guards against a stop that goes on attracting callers.
+TEST_F(EntryFailures, StopIsReportedAtOnce)
+{
+    entry.effects.clear();
+    entry.handle(StopRequested {});
+    ASSERT_TRUE(entry.last<SendReport>());
+    EXPECT_TRUE(entry.last<SendReport>()->report.leaving);
+    EXPECT_FALSE(isReady(entry.state));
+}
+
+} // namespace arbutuscrank::entry::test
--- /dev/null
+++ b/tests/entry/requests_test.cpp
@@ -0,0 +1,157 @@
+#include "entry/entry_harness.hpp"
+
+#include <gtest/gtest.h>
+
+namespace arbutuscrank::entry::test {
+
+namespace {
+
+    struct EntryRequests : testing::Test {
+        EntryRequests() { entry.useTargets({ makeTarget("t1"), makeTarget("t2"), makeTarget("t3") }); }
+
+        void expectRefusal(std::uint32_t status, const std::string& reason)
+        {
+            const auto answer = entry.last<AnswerOwn>();
+            ASSERT_TRUE(answer);
+            EXPECT_EQ(answer->status, status);
+            EXPECT_EQ(answer->reason, reason);
+            EXPECT_EQ(entry.count<SendAttempt>(), 0U);
+        }
+
+        Entry entry;
+    };
+
+} // namespace
+
+// Guards against a request that runs for another account than that of its key, or without the account's name.
+TEST_F(EntryRequests, RunsForTheAccountOfTheKey)
+{
+    entry.request("/read/1");
+    ASSERT_TRUE(entry.last<SendAttempt>());
+    EXPECT_EQ(entry.last<SendAttempt>()->account, "acme");
+}
+
+// Guards against an account's name on a route that needs no key.
+TEST_F(EntryRequests, OpenRouteNamesNoAccount)
+{
+    entry.request("/open/1", "");
+    ASSERT_TRUE(entry.last<SendAttempt>());
+    EXPECT_EQ(entry.last<SendAttempt>()->account, "");
+}
+
+// Guards against requests that run with an unknown key.
+TEST_F(EntryRequests, RefusesUnknownKeys)
+{
+    entry.request("/read/1", "other");
+    expectRefusal(401, "unknown-key");
+}
+
+TEST_F(EntryRequests, RefusesUnknownRoutes)
+{
+    entry.request("/none/1");
+    expectRefusal(404, "no-route");
+}
+
+// Guards against a 404 from a VM that has no configuration yet: the route may exist.
+TEST(EntryStart, RefusesAsNotRunBeforeTheConfigurationIsRead)
+{
+    Entry entry(1, TrafficPolicy {});
+    entry.request("/read/1");
+    ASSERT_TRUE(entry.last<AnswerOwn>());
+    EXPECT_EQ(entry.last<AnswerOwn>()->status, 503U);
+    EXPECT_GT(entry.last<AnswerOwn>()->retryAfter, Duration::zero());
+}
+
+// Guards against an answer later than the route's time-out, and against work that goes on after it.
+TEST_F(EntryRequests, GivesUpAtTheTimeoutOfTheRoute)
+{
+    const auto id = entry.request("/write/1", key, seconds(60));
+    ASSERT_TRUE(entry.last<SetExpiry>());
+    EXPECT_EQ(entry.last<SetExpiry>()->at, entry.now + seconds(2));
+    entry.now += seconds(2);
+    entry.handle(RequestExpired { id });
+    ASSERT_TRUE(entry.last<AnswerOwn>());
+    EXPECT_EQ(entry.last<AnswerOwn>()->status, 504U);
+    EXPECT_TRUE(entry.last<CancelAttempt>());
+    EXPECT_TRUE(entry.state.requests.empty());
+}
+
+// Guards against work at a target after the caller has left.
+TEST_F(EntryRequests, CancelsTheAttemptWhenTheCallerLeaves)
+{
+    const auto id = entry.request("/read/1");
+    entry.handle(CallerLeft { id });
+    ASSERT_TRUE(entry.last<CancelAttempt>());
+    EXPECT_EQ(entry.last<CancelAttempt>()->attempt, entry.last<SendAttempt>()->attempt);
+    EXPECT_EQ(entry.count<AnswerOwn>(), 0U);
+}
+
+// Guards against equal affinity values that go to different targets while one has room.
+TEST_F(EntryRequests, SendsEqualAffinityToTheSameTarget)
+{
+    entry.request("/read/1");
+    const auto first = entry.last<SendAttempt>()->target;
+    for (int i = 0; i < 3; ++i) {
+        entry.request("/read/1");
+        EXPECT_EQ(entry.last<SendAttempt>()->target, first);
+    }
+}
+
+// Guards against parts of a split route that get another share than their weight.
+TEST(EntrySplit, FollowsTheWeights)
+{
+    auto policy = makePolicy();
+    policy.services.push_back({ .name = "cart2" });
+    policy.routes[0].services = { { "cart", 90 }, { "cart2", 10 } };
+    Entry entry(1, policy);
+    auto second = makeTarget("u1");
+    second.service = "cart2";
+    entry.useTargets({ makeTarget("t1"), second });
+    int toSecond = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto id = entry.request("/read/1");
+        toSecond += entry.last<SendAttempt>()->target == "u1" ? 1 : 0;
+        entry.handle(CallerLeft { id });
+    }
+    EXPECT_NEAR(toSecond, 10, 1);
+}
+
+// Guards against requests that leave the regions which the route allows.
+TEST(EntryHomes, KeepToTheAllowedRegions)
+{
+    auto policy = makePolicy();
+    policy.routes[0].regions = { "south" };
+    Entry entry(1, policy);
+    entry.useTargets({ makeTarget("t1"), makeTarget("t2", "south") });
+    for (int i = 0; i < 20; ++i) {
+        const auto id = entry.request("/read/1");
+        ASSERT_TRUE(entry.last<SendAttempt>());
+        EXPECT_EQ(entry.last<SendAttempt>()->target, "t2");
+        entry.handle(CallerLeft { id });
+    }
+}
+
+// Guards against a version that comes back after a newer one was in force.
+TEST_F(EntryRequests, NeverAppliesAnOlderVersion)
+{
+    entry.handle(PolicyRead { makePolicy(9) });
+    auto older = makePolicy(5);
+    older.routes.clear();
+    entry.handle(PolicyRead { older });
+    EXPECT_EQ(entry.state.policy.policy().version, 9U);
+    EXPECT_EQ(entry.state.policy.policy().routes.size(), 3U);
+}
+
+// Guards against a faulty version that replaces the one in force.
+TEST_F(EntryRequests, RefusesAFaultyVersionWhole)
+{
+    auto faulty = makePolicy(7);
+    faulty.routes[1].services = { { "missing", 1 } };
+    entry.handle(PolicyRead { faulty });
+    EXPECT_EQ(entry.state.policy.policy().version, 1U);
+    ASSERT_TRUE(entry.last<WriteLog>());
+    EXPECT_EQ(entry.last<WriteLog>()->event, LogEvent::ConfigurationRefused);
+    EXPECT_NE(entry.last<WriteLog>()->detail.find("missing"), std::string::npos);
+}
+
+} // namespace arbutuscrank::entry::test
