Keep the quota when VMs cannot hear each other

Change: a silent VM keeps its part of the rate after 620 ms; its part no longer fills the bucket; what a VM draws within the time of an exchange is bounded by its part, rounded up and down in turn.

--- a/include/arbutuscrank/entry/quota_sharing.hpp
+++ b/include/arbutuscrank/entry/quota_sharing.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -51,7 +52,7 @@
     /// \brief Counters for this VM's own report, which is about to be sent.
     [[nodiscard]] std::map<std::string, AccountUse, std::less<>> takeUse(TimePoint now);
 
-    /// \brief Whether requests were refused that could be admitted once this VM has reported what it spent.
+    /// \brief Whether requests were refused that could be admitted once the VMs have exchanged reports.
     [[nodiscard]] bool wantsReport() const noexcept { return m_wantsReport; }
 
     /// \brief Whether some account has less than half of its burst left, so that reports should come faster.
@@ -62,7 +63,11 @@
         Incarnation incarnation = 0;
         std::uint64_t admitted = 0;
         double demand = 0;
+        double part = 0; ///< of the rate, as of the last time that the VM was heard
+    };
+    struct Spending {
         TimePoint at {};
+        std::uint64_t admitted = 0;
     };
     struct Account {
         double rate = 0;
@@ -70,24 +75,29 @@
         std::uint64_t admitted = 0;
         double demand = 0; ///< smoothed requests per second
         double asked = 0; ///< requests since the last update
-        std::uint64_t unreported = 0; ///< tokens taken from the fleet's bucket since the last report
+        double rounding = 0; ///< added to this VM's part of the bucket before it is rounded down, 0 to 1
+        std::deque<Spending> spending; ///< at the last updates, back to what the others know
         double fleetLevel = 0; ///< tokens of the fleet's bucket as this VM knows it
         TimePoint fleetAt {};
+        double refillPart = 1; ///< part of the rate that fills it: without that of silent VMs
         TokenBucket share;
         std::map<VmId, Peer> peers;
     };
 
     void refill(Account& account, TimePoint now) const;
-    /// Tokens of the fleet's bucket that this VM may spend before it reports them: its part of what is left, so that
-    /// the sum over all VMs keeps to the bucket and the tolerance.
-    [[nodiscard]] double unreportedLimit(const Account& account) const;
+    void setShare(Account& account, std::span<const VmId> heard, std::span<const VmId> silent, TimePoint now) const;
+    /// Whether a request may be admitted beyond this VM's share. Within the time of an exchange a VM draws no more than
+    /// its part of the fleet's bucket, so that the sum over all VMs keeps to the bucket and the tolerance.
+    [[nodiscard]] bool mayDraw(const Account& account, TimePoint now) const;
+    /// Silence of any VM after which nothing is drawn: shorter while the bucket is low, since reports come faster then.
+    [[nodiscard]] static Duration drawSilenceLimit(const Account& account);
     [[nodiscard]] double tolerance(const Account& account) const; ///< tokens that may be spent beyond the bucket
 
     Bounds m_bounds;
     std::map<std::string, Account, std::less<>> m_accounts;
     TimePoint m_updatedAt {};
     std::size_t m_vms = 1;
-    bool m_allHeard = false;
+    TimePoint m_oldestHeard {}; ///< oldest of the newest reports of the other VMs
     bool m_wantsReport = false;
 };
 
--- a/src/entry/quota_sharing.cpp
+++ b/src/entry/quota_sharing.cpp
@@ -15,8 +15,20 @@
     constexpr double baseDemandPart = 0.25;
     /// Part of the rate that shares hand out. The rest covers shares that change while reports are under way.
     constexpr double sharedPart = 0.97;
-    /// Part of the tolerated excess that unreported spending may use up. The rest covers lost and late reports.
-    constexpr double usedTolerance = 0.4;
+    /// Part of the tolerated excess by which the fleet's bucket may be overdrawn for longer, and part that all VMs may
+    /// draw together before they have told each other. The rest covers lost reports.
+    constexpr double usedTolerance = 0.3;
+    constexpr double drawnTolerance = 0.6;
+    /// Silence of a VM after which its part of the rate stays with it. Reports come at least every 500 ms.
+    constexpr Duration silenceLimit = std::chrono::milliseconds(620);
+    /// Time within which a request that one VM admitted is known to the others.
+    constexpr Duration exchangeTime = std::chrono::milliseconds(500);
+    /// Silence of any VM after which no more is drawn from a bucket that is less than half full. Reports come every
+    /// 200 ms then.
+    constexpr Duration pressedSilenceLimit = std::chrono::milliseconds(750);
+
+    /// Step of the sequence that rounds parts of a few requests up or down in turn.
+    constexpr double goldenRatio = 0.6180339887;
 
     MicroTokens microTokens(double tokens) { return static_cast<MicroTokens>(tokens * static_cast<double>(oneToken)); }
 
@@ -50,7 +62,7 @@
 void QuotaSharing::refill(Account& account, TimePoint now) const
 {
     const double elapsed = std::max(0.0, seconds(now - account.fleetAt));
-    account.fleetLevel = std::min(account.burst, account.fleetLevel + elapsed * account.rate);
+    account.fleetLevel = std::min(account.burst, account.fleetLevel + elapsed * account.rate * account.refillPart);
     account.fleetAt = now;
 }
 
@@ -78,7 +90,6 @@
         peer.incarnation = report.process.incarnation;
         peer.admitted = use.admitted;
         peer.demand = use.demand;
-        peer.at = now;
     }
 }
 
@@ -88,24 +99,53 @@
     const bool first = m_updatedAt == TimePoint {};
     m_updatedAt = now;
     m_vms = members.fleetSize();
-    m_allHeard = std::ranges::all_of(members.others(),
-        [&](const auto& item) { return MemberTable::isHeard(item.second, now, MemberTable::reportLimit); });
+    std::vector<VmId> heard;
+    std::vector<VmId> silent;
+    m_oldestHeard = now;
+    for (const auto& [vm, member] : members.others()) {
+        (MemberTable::isHeard(member, now, silenceLimit) ? heard : silent).push_back(vm);
+        m_oldestHeard = std::min(m_oldestHeard, member.heardAt.value_or(TimePoint {}));
+    }
     const double weight = 1 - std::exp(-elapsed / demandSmoothingSeconds);
     for (auto& [name, account] : m_accounts) {
         if (!first)
             account.demand += weight * (account.asked / elapsed - account.demand);
         account.asked = 0;
         std::erase_if(account.peers, [&](const auto& item) { return !members.others().contains(item.first); });
-        const double base = baseDemandPart * account.rate / static_cast<double>(m_vms);
-        double total = account.demand + base;
-        for (const auto& [vm, member] : members.others()) {
-            const auto it = account.peers.find(vm);
-            total += base + (it == account.peers.end() ? 0 : it->second.demand);
-        }
-        const double part = total > 0 ? (account.demand + base) / total : 1.0 / static_cast<double>(m_vms);
-        account.share.setShare(
-            microTokens(sharedPart * account.rate * part), microTokens(std::max(1.0, account.burst * part)), now);
+        account.rounding = std::fmod(account.rounding + goldenRatio, 1.0);
+        setShare(account, heard, silent, now);
+        refill(account, now);
+        account.refillPart = 1;
+        for (const auto& vm : silent)
+            account.refillPart -= account.peers.at(vm).part;
+        account.refillPart = std::max(0.0, account.refillPart);
+        account.spending.push_back({ now, account.admitted });
+        while (account.spending.size() > 1 && account.spending[1].at <= now - exchangeTime)
+            account.spending.pop_front();
+    }
+}
+
+void QuotaSharing::setShare(
+    Account& account, std::span<const VmId> heard, std::span<const VmId> silent, TimePoint now) const
+{
+    const double equal = 1.0 / static_cast<double>(m_vms);
+    const double base = baseDemandPart * account.rate * equal;
+    // A silent VM keeps the part that it had: it may still admit requests, and does not know of the others' demand.
+    double free = 1;
+    for (const auto& vm : silent)
+        free -= account.peers.try_emplace(vm, Peer { .part = equal }).first->second.part;
+    free = std::max(0.0, free);
+    double total = account.demand + base;
+    for (const auto& vm : heard)
+        total += base + account.peers.try_emplace(vm, Peer { .part = equal }).first->second.demand;
+    const auto partOf = [&](double demand) { return total > 0 ? free * (demand + base) / total : free * equal; };
+    for (const auto& vm : heard) {
+        auto& peer = account.peers.at(vm);
+        peer.part = partOf(peer.demand);
     }
+    const double part = partOf(account.demand);
+    account.share.setShare(
+        microTokens(sharedPart * account.rate * part), microTokens(std::max(1.0, account.burst * part)), now);
 }
 
 double QuotaSharing::tolerance(const Account& account) const
@@ -114,10 +154,19 @@
     return usedTolerance * (m_bounds.quotaOverage * granted + m_bounds.quotaSlack);
 }
 
-double QuotaSharing::unreportedLimit(const Account& account) const
+Duration QuotaSharing::drawSilenceLimit(const Account& account)
+{
+    return account.fleetLevel < account.burst / 2 ? pressedSilenceLimit : MemberTable::reportLimit;
+}
+
+bool QuotaSharing::mayDraw(const Account& account, TimePoint now) const
 {
-    const double available = account.fleetLevel + static_cast<double>(account.unreported) + tolerance(account);
-    return std::max(1.0, available / static_cast<double>(m_vms));
+    if (account.fleetLevel < 1 || now - m_oldestHeard > drawSilenceLimit(account))
+        return false;
+    const auto before = account.spending.empty() ? 0 : account.spending.front().admitted;
+    const auto recent = static_cast<double>(account.admitted - std::min(before, account.admitted));
+    const double available = account.fleetLevel + recent + drawnTolerance / usedTolerance * tolerance(account);
+    return recent + 1 <= std::max(1.0, available / static_cast<double>(m_vms) + account.rounding);
 }
 
 bool QuotaSharing::admit(const std::string& name, TimePoint now)
@@ -135,12 +184,9 @@
     if (account.fleetLevel < -tolerance(account))
         return false;
     const bool fromShare = account.share.trySpend(oneToken, now);
-    if (!fromShare) {
-        const bool withinLimit = account.unreported + 1 <= unreportedLimit(account);
-        m_wantsReport = m_wantsReport || !withinLimit;
-        if (!m_allHeard || account.fleetLevel < 1 || !withinLimit)
-            return false;
-        ++account.unreported;
+    if (!fromShare && !mayDraw(account, now)) {
+        m_wantsReport = account.fleetLevel >= 1;
+        return false;
     }
     account.fleetLevel -= 1;
     ++account.admitted;
@@ -170,9 +216,9 @@
     auto& account = it->second;
     const auto tokens = [](MicroTokens n) { return static_cast<double>(n) / static_cast<double>(oneToken); };
     return fmt::format("rate={:.1f} burst={:.1f} fleet_level={:.1f} share_rate={:.2f} share_level={:.2f} demand={:.2f} "
-                       "all_heard={}",
+                       "oldest_report_ms={}",
         account.rate, account.burst, account.fleetLevel, tokens(account.share.rate()), tokens(account.share.level(now)),
-        account.demand, m_allHeard);
+        account.demand, (now - m_oldestHeard) / std::chrono::milliseconds(1));
 }
 
 std::map<std::string, AccountUse, std::less<>> QuotaSharing::takeUse(TimePoint now)
@@ -181,7 +227,6 @@
     std::map<std::string, AccountUse, std::less<>> out;
     for (auto& [name, account] : m_accounts) {
         refill(account, now);
-        account.unreported = 0;
         out[name] = { .admitted = account.admitted, .demand = account.demand };
     }
     return out;
--- a/tests/entry/schedule_failure_test.cpp
+++ b/tests/entry/schedule_failure_test.cpp
@@ -29,6 +29,8 @@
                 m_entry.effects.clear();
                 m_entry.now += milliseconds(m_random.below(60));
                 runTimers();
+                check();
+                m_entry.effects.clear();
                 playEvent();
                 check();
             }
