--- a/include/arbutuscrank/entry/settings.hpp
+++ b/include/arbutuscrank/entry/settings.hpp
@@ -14,7 +14,6 @@
 /// \brief Bounds that operators promise their users. The defaults hold where the settings name none.
 struct Bounds {
     Duration withdrawal = std::chrono::seconds(5); ///< from the store's answer to the last run with a withdrawn key
-    Duration contact = std::chrono::seconds(4); ///< undisturbed time after which bounds hold again
     Duration drain = std::chrono::milliseconds(2500); ///< from a target's leaving to the last request sent to it
     Duration stopGrace = std::chrono::seconds(6); ///< from the stop signal to the forced end
     Duration retryWindow = std::chrono::seconds(10); ///< span over which retries are counted
@@ -29,12 +28,6 @@
     double maxRegionShift = 0.15; ///< share of a region's requests that may change their region within 2 s
 };
 
-/// \brief What the machine grants to the process.
-struct MachineLimits {
-    std::uint64_t memoryBytes = 128ULL << 20U;
-    std::uint32_t maxDescriptors = 1024;
-};
-
 /// \brief Checked settings of an entry VM.
 struct EntrySettings {
     std::string vm;
@@ -48,7 +41,6 @@
     std::string storeAddress; ///< "ip:port" of the store
     std::map<std::string, std::string> regionOfFailureDomain;
     Bounds bounds;
-    MachineLimits limits;
     std::string logLevel = "info";
 };
 
--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -53,9 +53,8 @@
 /// \brief Places requests on targets.
 class TargetSelection {
 public:
-    TargetSelection(std::string region, std::string failureDomain, const Bounds& bounds, std::uint64_t seed)
+    TargetSelection(std::string region, const Bounds& bounds, std::uint64_t seed)
         : m_region(std::move(region))
-        , m_failureDomain(std::move(failureDomain))
         , m_bounds(bounds)
         , m_random(seed)
     {
@@ -89,7 +88,6 @@
     [[nodiscard]] Target* tryEjected(TargetTable& targets, const Placement& placement, TimePoint now);
 
     std::string m_region;
-    std::string m_failureDomain;
     Bounds m_bounds;
     Random m_random;
     std::map<std::string, RegionSplit> m_splits;
--- a/include/arbutuscrank/entry/traffic_policy.hpp
+++ b/include/arbutuscrank/entry/traffic_policy.hpp
@@ -38,7 +38,6 @@
 /// \brief A service: a group of targets that run the same requests.
 struct ServicePolicy {
     std::string name;
-    std::uint32_t maxConnections = 0; ///< connections that one target accepts from all callers together
     Duration coldTime {}; ///< time for which a started target is cold
     double coldRate = 0; ///< requests per second that a cold target bears; 0 means no limit
 };
--- a/src/entry/reduce.cpp
+++ b/src/entry/reduce.cpp
@@ -5,7 +5,7 @@
 EntryState::EntryState(EntrySettings entrySettings, MemberRecord self, std::uint64_t seed)
     : settings(std::move(entrySettings))
     , random(seed)
-    , selection(settings.region, settings.failureDomain, settings.bounds, seed + 1)
+    , selection(settings.region, settings.bounds, seed + 1)
     , quota(settings.bounds)
     , retries(settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack)
     , members(std::move(self))
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -17,8 +17,8 @@
     constexpr std::array affinityLoad { 1.5, 1.3 };
     /// A region serves its own requests up to this multiple of the fleet's average load before it sends some away.
     constexpr double localPreference = 1.1;
-    /// Change of a region's share per second. Two seconds of it stay below half of the allowed shift of 15%.
-    constexpr double splitStepPerSecond = 0.05;
+    /// Part of the allowed shift by which the local part changes in a second. The shift is counted over two seconds.
+    constexpr double shiftPartPerSecond = 1.0 / 3;
     /// Difference of the wanted local part that is left alone: each value that moves has to be loaded anew.
     constexpr double localDeadBand = 0.08;
     /// Room that a region without spare slots counts with, as a part of its slots.
@@ -172,7 +172,7 @@
         const auto wanted = wantedSplit(bySlots, found == demand.end() ? noDemand : found->second);
         const bool first = split.spare.empty();
         const double elapsed = first ? 0 : std::chrono::duration<double>(now - split.updatedAt).count();
-        const double step = splitStepPerSecond * elapsed;
+        const double step = shiftPartPerSecond * m_bounds.maxRegionShift * elapsed;
         split.updatedAt = now;
         if (first)
             split.local = wanted.local;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -409,7 +409,6 @@
 void EntryNode::applySettings(const entry::EntrySettings& settings)
 {
     m_state.settings.bounds = settings.bounds;
-    m_state.settings.limits = settings.limits;
     m_state.settings.regionOfFailureDomain = settings.regionOfFailureDomain;
     log(LogEvent::SettingsReloaded, fmt::format("failure_domains={}", settings.regionOfFailureDomain.size()));
 }
--- a/tests/entry/entry_harness.hpp
+++ b/tests/entry/entry_harness.hpp
@@ -46,7 +46,7 @@
     };
     return { .version = version,
         .routes = { route("read", true, false), route("write", false, false), route("open", true, true) },
-        .services = { { .name = "cart", .maxConnections = 100, .coldTime = seconds(3), .coldRate = 8 } },
+        .services = { { .name = "cart", .coldTime = seconds(3), .coldRate = 8 } },
         .accounts = { { .name = "acme", .keyDigests = { sha256Hex(key) }, .ratePerSecond = 1000, .burst = 1000 } } };
 }
 
--- a/tests/entry/targets_failure_test.cpp
+++ b/tests/entry/targets_failure_test.cpp
@@ -121,7 +121,7 @@
     for (int i = 0; i < vms; ++i) {
         MemberTable members(records[i]);
         members.applySnapshot(records, start);
-        TargetSelection selection("north", "north-a", bounds, 1);
+        TargetSelection selection("north", bounds, 1);
         TargetTable targets;
         auto record = makeTarget("t1");
         record.coldRemaining = seconds(3);
