Bound the shift of all regions' parts together

Only the local part moved in bounded steps; the room of the other regions followed the first reported demand at once.

Change: a service's parts by region move together, by at most 6% of the requests a second. In the first 3 s of a process they follow the demand at once: a fleet that starts together has lost its caches anyway.

--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -43,10 +43,9 @@
 
 /// \brief How one service's requests of this region are split among regions.
 ///
-/// A part of the affinity values stays in the region where requests come in; the others go to a region with room.
+/// A part of the affinity values stays in the region where requests come in; the others go to regions with room.
 struct RegionSplit {
-    double local = 0; ///< part of the values that stay, 0 to 1
-    std::map<std::string, double> spare; ///< room by region, relative to each other
+    std::map<std::string, double> parts; ///< part of the values by region, this VM's region included; their sum is 1
     TimePoint updatedAt {};
 };
 
@@ -80,7 +79,7 @@
         double loadPerSlot = 0;
     };
 
-    [[nodiscard]] RegionSplit wantedSplit(
+    [[nodiscard]] std::map<std::string, double> wantedParts(
         const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const;
     [[nodiscard]] std::string chooseRegion(const Placement& placement, std::uint64_t affinityHash);
     [[nodiscard]] std::vector<Candidate> collect(
@@ -91,6 +90,7 @@
     Bounds m_bounds;
     Random m_random;
     std::map<std::string, RegionSplit> m_splits;
+    std::optional<TimePoint> m_firstSplitAt;
 };
 
 } // namespace arbutuscrank::entry
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -17,10 +17,14 @@
     constexpr std::array affinityLoad { 1.5, 1.3 };
     /// A region serves its own requests up to this multiple of the fleet's average load before it sends some away.
     constexpr double localPreference = 1.1;
-    /// Part of the allowed shift by which the local part changes in a second. The shift is counted over two seconds.
-    constexpr double shiftPartPerSecond = 1.0 / 3;
-    /// Difference of the wanted local part that is left alone: each value that moves has to be loaded anew.
-    constexpr double localDeadBand = 0.08;
+    /// Part of the allowed shift by which the parts of all regions together change in a second. The shift is counted
+    /// over two seconds.
+    constexpr double shiftPartPerSecond = 0.4;
+    /// Difference from the wanted parts that is left alone: each value that moves has to be loaded anew.
+    constexpr double shiftDeadBand = 0.05;
+    /// Time after a start in which the parts follow the demand at once: one VM's share of the shift is small, and a
+    /// fleet that starts together has lost its caches anyway.
+    constexpr Duration settleTime = std::chrono::seconds(3);
     /// Room that a region without spare slots counts with, as a part of its slots.
     constexpr double minSpare = 0.02;
     /// Seed of the position that decides whether an affinity value stays in its region.
@@ -42,6 +46,32 @@
 
     std::uint64_t mix(std::uint64_t a, std::uint64_t b) { return Random(a ^ (b * 0x9e3779b97f4a7c15ULL)).next(); }
 
+    /// Moves parts towards wanted ones by at most \p step, counted as the share of values that change their region.
+    void moveParts(
+        std::map<std::string, double>& parts, const std::map<std::string, double>& wanted, double step, double deadBand)
+    {
+        // Nothing can be sent to a region without targets: its part goes to the others at once.
+        std::erase_if(parts, [&](const auto& item) { return !wanted.contains(item.first); });
+        double total = 0;
+        for (const auto& [region, part] : parts)
+            total += part;
+        if (total <= 0) {
+            parts = wanted;
+            return;
+        }
+        double distance = 0;
+        for (const auto& [region, part] : wanted) {
+            auto& current = parts[region];
+            current /= total;
+            distance += std::abs(part - current) / 2;
+        }
+        if (distance <= deadBand)
+            return;
+        const double moved = std::min(1.0, step / distance);
+        for (const auto& [region, part] : wanted)
+            parts[region] += moved * (part - parts[region]);
+    }
+
     double unit(std::uint64_t bits) { return (static_cast<double>(bits >> 11U) + 0.5) * 0x1.0p-53; }
 
     /// Weighted rendezvous hashing: a target with twice the slots gets twice the values.
@@ -66,18 +96,19 @@
     const auto allowed = [&](const std::string& region) {
         return isAllowed(placement.routeRegions, region) && isAllowed(placement.accountRegions, region);
     };
-    const auto& spare = split->second.spare;
+    const auto& parts = split->second.parts;
+    const auto local = parts.find(m_region);
     const double position = hasAffinity ? unit(mix(affinityHash, localSeed)) : m_random.unit();
-    if (spare.contains(m_region) && allowed(m_region) && position < split->second.local)
+    if (local != parts.end() && allowed(m_region) && position < local->second)
         return m_region;
     // Weighted rendezvous hashing: when a region's room changes, only the values move that have to.
     std::string best = m_region;
     double bestWeight = -1;
     const auto seed = hasAffinity ? affinityHash : m_random.next();
-    for (const auto& [region, room] : spare) {
+    for (const auto& [region, part] : parts) {
         if (region == m_region || !allowed(region))
             continue;
-        const double weight = -room / std::log(unit(mix(seed, XXH64(region.data(), region.size(), 0))));
+        const double weight = -part / std::log(unit(mix(seed, XXH64(region.data(), region.size(), 0))));
         if (weight > bestWeight) {
             best = region;
             bestWeight = weight;
@@ -165,24 +196,25 @@
             slots[target.record.service][target.record.region] += target.record.slots;
     }
     std::erase_if(m_splits, [&](const auto& item) { return !slots.contains(item.first); });
+    if (!slots.empty() && !m_firstSplitAt)
+        m_firstSplitAt = now;
+    const bool settling = m_firstSplitAt && now - *m_firstSplitAt < settleTime;
     static const std::map<std::string, double> noDemand;
     for (const auto& [service, bySlots] : slots) {
         const auto found = demand.find(service);
         auto& split = m_splits[service];
-        const auto wanted = wantedSplit(bySlots, found == demand.end() ? noDemand : found->second);
-        const bool first = split.spare.empty();
-        const double elapsed = first ? 0 : std::chrono::duration<double>(now - split.updatedAt).count();
+        const auto wanted = wantedParts(bySlots, found == demand.end() ? noDemand : found->second);
+        const double elapsed = std::chrono::duration<double>(now - split.updatedAt).count();
         const double step = shiftPartPerSecond * m_bounds.maxRegionShift * elapsed;
         split.updatedAt = now;
-        if (first)
-            split.local = wanted.local;
-        else if (std::abs(wanted.local - split.local) > localDeadBand)
-            split.local = std::clamp(wanted.local, split.local - step, split.local + step);
-        split.spare = wanted.spare;
+        if (settling)
+            split.parts = wanted;
+        else
+            moveParts(split.parts, wanted, step, shiftDeadBand);
     }
 }
 
-RegionSplit TargetSelection::wantedSplit(
+std::map<std::string, double> TargetSelection::wantedParts(
     const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const
 {
     double totalSlots = 0;
@@ -197,15 +229,24 @@
         return totalDemand <= 0 ? 1.0 / static_cast<double>(slots.size()) : it == demand.end() ? 0 : it->second;
     };
     const double all = totalDemand <= 0 ? 1 : totalDemand;
-    RegionSplit split;
+    double local = 0;
+    double spare = 0;
+    std::map<std::string, double> parts;
     for (const auto& [region, n] : slots) {
         const double fair = localPreference * all * n / totalSlots;
         const double own = demandOf(region);
-        if (region == m_region)
-            split.local = own <= fair ? 1 : fair / own;
-        split.spare[region] = std::max(minSpare * n / totalSlots, (fair - own) / all);
+        if (region == m_region) {
+            local = own <= fair ? 1 : fair / own;
+            continue;
+        }
+        parts[region] = std::max(minSpare * n / totalSlots, (fair - own) / all);
+        spare += parts[region];
     }
-    return split;
+    for (auto& [region, part] : parts)
+        part = spare > 0 ? part * (1 - local) / spare : 0;
+    if (slots.contains(m_region))
+        parts[m_region] = spare > 0 ? local : 1;
+    return parts;
 }
 
 void TargetSelection::updateColdShares(
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -67,7 +67,7 @@
     for (const auto& [vm, member] : state.members.others())
         out["members"].push_back(dumpMember(member, now));
     for (const auto& [service, split] : state.selection.splits())
-        out["regionSplits"][service] = { { "local", split.local }, { "spare", split.spare } };
+        out["regionSplits"][service] = split.parts;
     return out.dump(1);
 }
 
--- /dev/null
+++ b/tests/entry/region_shift_failure_test.cpp
@@ -0,0 +1,94 @@
+#include "entry/entry_harness.hpp"
+
+#include <gtest/gtest.h>
+
+namespace arbutuscrank::entry::test {
+
+namespace {
+
+    using Demand = std::map<std::string, std::map<std::string, double>>;
+
+    /// A region with few targets whose requests mostly run in two others.
+    struct RegionShift : testing::Test {
+        RegionShift()
+        {
+            std::vector<TargetRecord> records;
+            const std::map<std::string, int> targetsOf { { "north", 2 }, { "south", 12 }, { "west", 9 } };
+            for (const auto& [region, n] : targetsOf) {
+                for (int i = 0; i < n; ++i)
+                    records.push_back(makeTarget(region + std::to_string(i), region));
+            }
+            (void)targets.applySnapshot(records, now);
+        }
+
+        void advance(Duration duration, const Demand& demand)
+        {
+            for (Duration done {}; done < duration; done += milliseconds(200)) {
+                now += milliseconds(200);
+                selection.updateSplits(targets, demand, now);
+            }
+        }
+
+        /// Region of each of many affinity values.
+        std::vector<std::string> regions()
+        {
+            std::vector<std::string> out;
+            for (int i = 0; i < 3000; ++i) {
+                const auto affinity = "read\n" + std::to_string(i);
+                const Placement placement { .service = "cart", .affinity = affinity, .idempotent = true };
+                out.push_back(selection.choose(targets, placement, now).target->record.region);
+            }
+            return out;
+        }
+
+        /// Largest share of the values that change their region from one window of 2 s to the next.
+        double largestShift(Duration duration, const Demand& demand)
+        {
+            double largest = 0;
+            auto before = regions();
+            for (Duration done {}; done < duration; done += seconds(2)) {
+                advance(seconds(2), demand);
+                const auto after = regions();
+                double changed = 0;
+                for (std::size_t i = 0; i < after.size(); ++i)
+                    changed += after[i] != before[i] ? 1 : 0;
+                largest = std::max(largest, changed / static_cast<double>(after.size()));
+                before = after;
+            }
+            return largest;
+        }
+
+        TimePoint now { std::chrono::hours(1) };
+        TargetTable targets;
+        TargetSelection selection { "north", Bounds {}, 1 };
+    };
+
+} // namespace
+
+// Guards against a shift above the cap when the first demand is reported: the room of the other regions moved at once.
+TEST_F(RegionShift, KeepsToTheCapWhenDemandBecomesKnown)
+{
+    advance(seconds(8), {});
+    const Demand demand { { "cart", { { "north", 300 }, { "south", 900 }, { "west", 60 } } } };
+    EXPECT_LE(largestShift(seconds(10), demand), Bounds {}.maxRegionShift);
+}
+
+// Guards against a shift above the cap when callers move from one region to another.
+TEST_F(RegionShift, KeepsToTheCapWhenCallersMove)
+{
+    const Demand before { { "cart", { { "north", 300 }, { "south", 500 }, { "west", 300 } } } };
+    advance(seconds(8), before);
+    const Demand after { { "cart", { { "north", 300 }, { "south", 50 }, { "west", 750 } } } };
+    EXPECT_LE(largestShift(seconds(10), after), Bounds {}.maxRegionShift);
+}
+
+// Guards against parts that never reach the regions with room.
+TEST_F(RegionShift, FollowsTheRoomInTheEnd)
+{
+    advance(seconds(8), { { "cart", { { "north", 300 }, { "south", 900 }, { "west", 60 } } } });
+    advance(seconds(20), { { "cart", { { "north", 300 }, { "south", 60 }, { "west", 900 } } } });
+    const auto& parts = selection.splits().at("cart").parts;
+    EXPECT_GT(parts.at("south"), parts.at("west"));
+}
+
+} // namespace arbutuscrank::entry::test
