--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -34,6 +34,7 @@
     MemberGone = 304,
     VmListFailed = 305,
     PeerConnectionLost = 306,
+    CoordinatorChanged = 307,
     // 4xx: quotas
     LedgerApplied = 400,
     LedgerWritten = 401,
@@ -70,6 +71,7 @@
     PeerProtocolError = 902,
     StoreEntryRefused = 903,
     StoreCallFailed = 904,
+    StoreSourceChanged = 905,
 };
 
 /// \brief Name of a log event, as in the catalogue.
--- a/include/arbutuscrank/entry.hpp
+++ b/include/arbutuscrank/entry.hpp
@@ -3,8 +3,10 @@
 /// \file
 /// \brief Umbrella header of the entry's decisions.
 
+#include <arbutuscrank/entry/coordination.hpp>
 #include <arbutuscrank/entry/effects.hpp>
 #include <arbutuscrank/entry/events.hpp>
+#include <arbutuscrank/entry/fleet_messages.hpp>
 #include <arbutuscrank/entry/members.hpp>
 #include <arbutuscrank/entry/quota_sharing.hpp>
 #include <arbutuscrank/entry/retry_limit.hpp>
--- a/include/arbutuscrank/entry/effects.hpp
+++ b/include/arbutuscrank/entry/effects.hpp
@@ -49,7 +49,8 @@
     std::string service;
 };
 
-/// \brief Asks for \ref RequestExpired or \ref HedgeDue at a time. A later one of the same kind replaces it.
+/// \brief Asks for \ref RequestExpired, \ref HedgeDue or \ref AdmissionDue at a time. A later one of the same kind
+/// replaces it; an admission and a hedge of one request are never both awaited.
 struct SetExpiry {
     RequestId request = 0;
     TimePoint at {};
@@ -58,15 +59,23 @@
     RequestId request = 0;
     TimePoint at {};
 };
+struct SetAdmissionDue {
+    RequestId request = 0;
+    TimePoint at {};
+};
 
 /// \brief Closes idle connections to a target.
 struct CloseIdle {
     std::string target;
 };
 
-/// \brief Sends a report to the other VMs.
-struct SendReport {
-    Report report;
+/// \brief What one VM tells another by datagram.
+using FleetMessage = std::variant<Report, DomainReport, Digest, AdmissionAsk, AdmissionAnswer, AdmissionReturn>;
+
+/// \brief Sends a datagram to VMs.
+struct SendMessage {
+    FleetMessage message;
+    std::vector<std::string> addresses; ///< "ip:port"
 };
 
 /// \brief Removes the registration of a VM that was silent for long.
@@ -80,7 +89,7 @@
     std::string detail; ///< "name=value" pairs separated by blanks
 };
 
-using EntryEffect = std::variant<SendAttempt, CancelAttempt, DeliverAnswer, AnswerOwn, SetExpiry, SetHedge, CloseIdle,
-    SendReport, ForgetMember, WriteLog>;
+using EntryEffect = std::variant<SendAttempt, CancelAttempt, DeliverAnswer, AnswerOwn, SetExpiry, SetHedge,
+    SetAdmissionDue, CloseIdle, SendMessage, ForgetMember, WriteLog>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -77,6 +77,11 @@
     RequestId request = 0;
 };
 
+/// \brief The time at which the coordinator is asked once more for an admission that it has not answered.
+struct AdmissionDue {
+    RequestId request = 0;
+};
+
 /// \brief The time at which an unanswered attempt gets a second one beside it.
 struct HedgeDue {
     RequestId request = 0;
@@ -130,6 +135,21 @@
 struct ReportReceived {
     Report report;
 };
+struct DomainReportReceived {
+    DomainReport report;
+};
+struct DigestReceived {
+    Digest digest;
+};
+struct AdmissionAsked {
+    AdmissionAsk ask;
+};
+struct AdmissionAnswered {
+    AdmissionAnswer answer;
+};
+struct AdmissionReturned {
+    AdmissionReturn returned;
+};
 
 /// \brief Comes several times a second.
 struct Tick { };
@@ -137,8 +157,9 @@
 /// \brief The process was told to stop.
 struct StopRequested { };
 
-using EntryEvent = std::variant<RequestArrived, CallerLeft, AttemptAnswered, AttemptFailed, RequestExpired, HedgeDue,
-    PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved, EvacuationsChanged, MembersListed,
-    MemberChanged, MemberRemoved, StoreFailed, StoreAnswered, ReportReceived, Tick, StopRequested>;
+using EntryEvent = std::variant<RequestArrived, CallerLeft, AttemptAnswered, AttemptFailed, RequestExpired, AdmissionDue,
+    HedgeDue, PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved, EvacuationsChanged, MembersListed,
+    MemberChanged, MemberRemoved, StoreFailed, StoreAnswered, ReportReceived, DomainReportReceived, DigestReceived,
+    AdmissionAsked, AdmissionAnswered, AdmissionReturned, Tick, StopRequested>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <arbutuscrank/core/types.hpp>
+#include <arbutuscrank/entry/fleet_messages.hpp>
 
 #include <cstdint>
 #include <map>
@@ -21,31 +21,16 @@
     std::string failureDomain;
     std::string callerAddress; ///< "ip:port" that callers connect to
     std::string reportAddress; ///< "ip:port" for datagrams
-};
-
-/// \brief Counters of one client account in a report.
-struct AccountUse {
-    std::uint64_t admitted = 0; ///< requests admitted since the process started
-    double demand = 0; ///< requests per second asked for lately, admitted or not
-};
-
-/// \brief Datagram that each VM sends to the others.
-struct Report {
-    ProcessId process;
-    std::uint64_t sequence = 0; ///< grows with each report of a process
-    bool ready = false; ///< takes callers
-    bool leaving = false; ///< was told to stop
-    Duration storeUpFor {}; ///< time for which the store has answered all calls; zero while it does not
-    std::map<std::string, AccountUse, std::less<>> accounts; ///< by account name
-    std::map<std::string, double, std::less<>> serviceDemand; ///< requests per second by service
-    std::map<std::uint32_t, std::uint32_t> inFlight; ///< attempts under way by low half of the target's hash
+    double capacity = 0; ///< processor cores that it may use
 };
 
 /// \brief One other VM.
 struct Member {
     MemberRecord record;
-    std::optional<Report> report; ///< the newest one
-    std::optional<TimePoint> heardAt;
+    std::optional<Report> report; ///< the newest one, if this VM coordinates its failure domain
+    bool ready = false; ///< takes callers
+    bool leaving = false; ///< was told to stop
+    std::optional<TimePoint> heardAt; ///< by this VM or by a coordinator
     TimePoint knownSince {}; ///< first registration that this process has read
     std::optional<TimePoint> forgottenAt; ///< when its removal was last asked for
 };
@@ -53,10 +38,10 @@
 /// \brief The other VMs of the fleet.
 class MemberTable {
 public:
-    /// A VM that was silent for this long is left out of look-ups. Reports come twice a second.
+    /// A VM that was silent for this long is left out of look-ups. Reports and digests come five times a second.
     static constexpr Duration silenceLimit = std::chrono::milliseconds(1800);
-    /// A VM that was silent for this long has its reports missed; its quota use is no longer known.
-    static constexpr Duration reportLimit = std::chrono::milliseconds(1300);
+    /// A coordinator passes on the VMs that it has heard itself within this time.
+    static constexpr Duration reportLimit = std::chrono::milliseconds(900);
 
     explicit MemberTable(MemberRecord self)
         : m_self(std::move(self))
@@ -74,6 +59,9 @@
     /// \brief Takes in a report. \returns false if it is old, or if its sender is not registered
     bool applyReport(const Report& report, TimePoint now);
 
+    /// \brief Takes in what a coordinator says of a VM. Unknown VMs are ignored.
+    void applyStatus(const VmStatus& status, TimePoint now);
+
     /// \brief Whether a VM was silent for so long that its registration should be removed.
     /// \returns true at most once in each span of \p silence
     [[nodiscard]] bool takeForgetTurn(const VmId& vm, Duration silence, TimePoint now);
@@ -82,8 +70,6 @@
     [[nodiscard]] static bool isHeard(const Member& member, TimePoint now, Duration limit = silenceLimit) noexcept;
 
     [[nodiscard]] const std::map<VmId, Member>& others() const noexcept { return m_members; }
-    /// \brief Longest time for which the store has answered some other VM that was heard lately.
-    [[nodiscard]] Duration storeUpElsewhere(TimePoint now) const noexcept;
     /// \brief Registered VMs, this one counted.
     [[nodiscard]] std::size_t fleetSize() const noexcept { return m_members.size() + 1; }
     /// \brief Registered VMs of a region in the order of their names, this one counted.
--- a/include/arbutuscrank/entry/settings.hpp
+++ b/include/arbutuscrank/entry/settings.hpp
@@ -39,6 +39,7 @@
     std::string reportAddress; ///< "ip:port" for datagrams between VMs
     std::string metricsAddress; ///< "ip:port" for metrics and the state dump
     std::string storeAddress; ///< "ip:port" of the store
+    double capacity = 0; ///< processor cores that this VM may use; coordinators are chosen by it
     std::map<std::string, std::string> regionOfFailureDomain;
     Bounds bounds;
     std::string logLevel = "info";
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <arbutuscrank/core/random.hpp>
+#include <arbutuscrank/entry/coordination.hpp>
 #include <arbutuscrank/entry/effects.hpp>
 #include <arbutuscrank/entry/events.hpp>
 #include <arbutuscrank/entry/quota_sharing.hpp>
@@ -45,6 +46,7 @@
     Duration objective {};
     std::vector<std::string> tried; ///< targets already used
     std::map<AttemptId, Attempt> attempts; ///< under way
+    std::uint32_t admissionAsks = 0; ///< questions to the coordinator that are not answered; 0 once it is admitted
     std::optional<AttemptId> failureAnswer; ///< a target's own failure, passed on if nothing better comes
 };
 
@@ -59,6 +61,14 @@
     std::uint32_t arrivals = 0; ///< since the last update
 };
 
+/// \brief Load of the whole fleet as a VM learns it from its coordinator.
+struct FleetLoad {
+    std::map<std::string, ServiceDemands> demandByRegion;
+    InFlightCounts inFlight; ///< sum over the fleet, this VM counted
+    Duration storeUpFor {}; ///< longest of all VMs
+    std::optional<TimePoint> heardAt;
+};
+
 /// \brief Everything that the entry decides with.
 struct EntryState {
     EntryState(EntrySettings entrySettings, MemberRecord self, std::uint64_t seed);
@@ -71,14 +81,19 @@
     QuotaSharing quota;
     RetryLimit retries;
     MemberTable members;
+    bool membersListed = false; ///< the registered VMs were read since the start
+    Coordination coordination;
+    DomainTable domains; ///< reports of the other failure domains' coordinators
+    FleetLoad fleetLoad; ///< as the coordinator told it; not used by a coordinator
     std::optional<TimePoint> policyConfirmedAt; ///< send time of the last store call that confirmed the configuration
     std::map<RequestId, Request> requests;
     std::map<std::string, RouteDuration> durations; ///< by route name
     std::map<std::string, ServiceDemand> demand; ///< by service name
     std::map<std::string, std::vector<double>> splitCredits; ///< by route name: credit of each part
     AttemptId lastAttempt = 0;
-    std::uint64_t reportSequence = 0;
-    std::optional<TimePoint> reportedAt;
+    std::uint64_t messageSequence = 0;
+    std::optional<TimePoint> reportedAt; ///< last message to the coordinator, or to the other coordinators
+    InFlightCounts reportedInFlight; ///< this VM's attempts in its last report
     std::optional<TimePoint> tickedAt;
     bool storeAway = false;
     std::optional<TimePoint> storeUpSince; ///< first answer after the last failure
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -47,6 +47,8 @@
         return "vm-list-failed";
     case LogEvent::PeerConnectionLost:
         return "peer-connection-lost";
+    case LogEvent::CoordinatorChanged:
+        return "coordinator-changed";
     case LogEvent::LedgerApplied:
         return "ledger-applied";
     case LogEvent::LedgerWritten:
@@ -107,6 +109,8 @@
         return "store-entry-refused";
     case LogEvent::StoreCallFailed:
         return "store-call-failed";
+    case LogEvent::StoreSourceChanged:
+        return "store-source-changed";
     }
     return "unknown";
 }
--- /dev/null
+++ b/src/entry/admission.cpp
@@ -0,0 +1,116 @@
+#include "entry/admission.hpp"
+
+#include "entry/attempts.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace arbutuscrank::entry {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Time after which the coordinator is asked again. It is one failure domain away at most: a few milliseconds, and
+    /// some more on a busy VM.
+    constexpr Duration askTimeout = milliseconds(70);
+    /// Questions for one request. A refusal is priced by the time for which the request was held.
+    constexpr std::uint32_t maxAsks = 3;
+    /// Retry-After of a request that no coordinator has answered: another one takes over within a second.
+    constexpr Duration unansweredRetryAfter = milliseconds(350);
+    /// Bounds of Retry-After for a request above the quota; callers honour a third of the time that they have left.
+    constexpr Duration minRetryAfter = milliseconds(100);
+    constexpr Duration maxRetryAfter = milliseconds(1000);
+
+    void refuseOverQuota(
+        EntryState& state, RequestId id, const Request& request, Duration wait, TimePoint now, Effects& out)
+    {
+        const auto inputs = state.coordination.isCoordinator()
+            ? state.quota.describe(request.account, now)
+            : fmt::format("coordinator={}", state.coordination.followed());
+        attempts::answerOwn(
+            state, id, request, 429, "over-quota", std::clamp(wait, minRetryAfter, maxRetryAfter), inputs, now, out);
+    }
+
+    void admitHere(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        request.admissionAsks = 0;
+        const bool admitted = state.quota.admit(request.account, now);
+        if (state.quota.wantsReport())
+            sendEarlyReports(state, now, out);
+        if (admitted)
+            attempts::start(state, id, request, now, out);
+        else
+            refuseOverQuota(state, id, request, state.quota.timeUntilToken(request.account, now), now, out);
+    }
+
+    void ask(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        ++request.admissionAsks;
+        const auto it = state.members.others().find(state.coordination.followed());
+        if (it != state.members.others().end())
+            out.push_back(SendMessage { AdmissionAsk { state.members.self().process.vm, id, request.account },
+                { it->second.record.reportAddress } });
+        out.push_back(SetAdmissionDue { id, now + askTimeout });
+    }
+
+} // namespace
+
+namespace admission {
+
+    void begin(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        if (state.coordination.isCoordinator())
+            admitHere(state, id, request, now, out);
+        else
+            ask(state, id, request, now, out);
+    }
+
+    void giveBack(EntryState& state, const Request& request, Effects& out)
+    {
+        if (request.account.empty() || request.admissionAsks != 0)
+            return;
+        if (state.coordination.isCoordinator()) {
+            state.quota.giveBack(request.account);
+            return;
+        }
+        const auto it = state.members.others().find(state.coordination.followed());
+        if (it != state.members.others().end())
+            out.push_back(SendMessage { AdmissionReturn { request.account }, { it->second.record.reportAddress } });
+    }
+
+} // namespace admission
+
+void apply(EntryState& state, const AdmissionAnswered& event, TimePoint now, Effects& out)
+{
+    const auto it = state.requests.find(event.answer.request);
+    if (it == state.requests.end() || it->second.admissionAsks == 0)
+        return; // the answer to an earlier question, or the caller has left
+    auto& request = it->second;
+    request.admissionAsks = 0;
+    if (event.answer.admitted)
+        attempts::start(state, event.answer.request, request, now, out);
+    else
+        refuseOverQuota(state, event.answer.request, request, event.answer.retryAfter, now, out);
+}
+
+void apply(EntryState& state, const AdmissionDue& event, TimePoint now, Effects& out)
+{
+    const auto it = state.requests.find(event.request);
+    if (it == state.requests.end() || it->second.admissionAsks == 0)
+        return;
+    auto& request = it->second;
+    if (state.coordination.isCoordinator()) {
+        admitHere(state, event.request, request, now, out);
+        return;
+    }
+    if (request.admissionAsks < maxAsks) {
+        ask(state, event.request, request, now, out);
+        return;
+    }
+    attempts::answerOwn(state, event.request, request, 503, "coordinator-silent", unansweredRetryAfter,
+        fmt::format("coordinator={}", state.coordination.followed()), now, out);
+}
+
+} // namespace arbutuscrank::entry
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -1,5 +1,7 @@
 #include "entry/attempts.hpp"
 
+#include "entry/admission.hpp"
+
 #include <arbutuscrank/entry/target_health.hpp>
 
 #include <fmt/format.h>
@@ -136,25 +138,13 @@
         return true;
     }
 
-    void answerOwn(EntryState& state, RequestId id, const Request& request, std::uint32_t status,
-        std::string_view reason, Duration retryAfter, TimePoint now, Effects& out)
-    {
-        const auto event = status == 503 ? LogEvent::RequestRefused : LogEvent::RequestOutcomeUnknown;
-        out.push_back(AnswerOwn { id, status, std::string(reason), retryAfter, request.account, request.service });
-        out.push_back(WriteLog { event,
-            fmt::format("request={} status={} reason={} service={} attempts={} age_ms={}", request.callerId, status,
-                reason, request.service, request.attemptsSent, (now - request.arrivedAt) / milliseconds(1)) });
-        attempts::finish(state, id, now, out);
-    }
-
     void refuseForRoom(
         EntryState& state, RequestId id, const Request& request, std::string_view reason, TimePoint now, Effects& out)
     {
-        if (!request.account.empty())
-            state.quota.giveBack(request.account);
+        admission::giveBack(state, request, out);
         const auto spread = static_cast<double>(retryAfterSpread.count()) * state.random.unit();
-        answerOwn(
-            state, id, request, 503, reason, minRetryAfter + Duration(static_cast<Duration::rep>(spread)), now, out);
+        attempts::answerOwn(state, id, request, 503, reason,
+            minRetryAfter + Duration(static_cast<Duration::rep>(spread)), {}, now, out);
     }
 
     /// Ends a request whose attempts all ended without an answer to deliver, unless it is sent once more.
@@ -170,7 +160,7 @@
             return;
         }
         if (request.mayHaveRun)
-            answerOwn(state, id, request, 502, "outcome-unknown", {}, now, out);
+            attempts::answerOwn(state, id, request, 502, "outcome-unknown", {}, {}, now, out);
         else
             refuseForRoom(state, id, request, "targets-refused", now, out);
     }
@@ -191,8 +181,23 @@
 
 namespace attempts {
 
-    void sendFirst(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    void answerOwn(EntryState& state, RequestId id, const Request& request, std::uint32_t status,
+        std::string_view reason, Duration retryAfter, std::string_view inputs, TimePoint now, Effects& out)
+    {
+        const bool notRun = status == 503 || status == 429;
+        out.push_back(AnswerOwn { id, status, std::string(reason), retryAfter, request.account, request.service });
+        out.push_back(WriteLog { notRun ? LogEvent::RequestRefused : LogEvent::RequestOutcomeUnknown,
+            fmt::format("request={} status={} reason={} service={} account={} attempts={} age_ms={} version={}{}{}",
+                request.callerId, status, reason, request.service, request.account, request.attemptsSent,
+                (now - request.arrivedAt) / milliseconds(1), state.policy.policy().version, inputs.empty() ? "" : " ",
+                inputs) });
+        finish(state, id, now, out);
+    }
+
+    void start(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
     {
+        ++state.demand[request.service].arrivals;
+        state.retries.countRequest(request.service, now);
         const auto choice = chooseTarget(state, request, now);
         if (choice.target)
             send(state, id, request, choice, now, out);
@@ -212,7 +217,7 @@
             }
         }
         if (request.mayHaveRun || !request.attempts.empty())
-            answerOwn(state, id, request, 504, "timeout", {}, now, out);
+            answerOwn(state, id, request, 504, "timeout", {}, {}, now, out);
         else
             refuseForRoom(state, id, request, "timeout", now, out);
     }
--- a/src/entry/attempts.hpp
+++ b/src/entry/attempts.hpp
@@ -2,13 +2,20 @@
 
 #include "entry/reducers.hpp"
 
+#include <string_view>
+
 /// \file
 /// \brief Attempts of a request: where the first one goes, when another follows, and what the caller is told.
 
 namespace arbutuscrank::entry::attempts {
 
-/// \brief Sends the first attempt, or refuses the request as not run.
-void sendFirst(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out);
+/// \brief Counts an admitted request and sends its first attempt, or refuses it as not run.
+void start(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out);
+
+/// \brief Answers with a status of this VM's own and ends the request.
+/// \param retryAfter told to the caller; zero means nothing is told
+void answerOwn(EntryState& state, RequestId id, const Request& request, std::uint32_t status, std::string_view reason,
+    Duration retryAfter, std::string_view inputs, TimePoint now, Effects& out);
 
 /// \brief Gives the request up at its deadline.
 void expire(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out);
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -15,7 +15,7 @@
 
     bool takesCallers(const Member& member, TimePoint now)
     {
-        return MemberTable::isHeard(member, now) && member.report && member.report->ready && !member.report->leaving;
+        return MemberTable::isHeard(member, now) && member.ready && !member.leaving;
     }
 
     bool isAllowed(const MemberRecord& record, std::string_view callerRegion, const std::vector<std::string>& homes)
@@ -60,10 +60,22 @@
             return false;
     }
     member.report = report;
+    member.ready = report.ready;
+    member.leaving = report.leaving;
     member.heardAt = now;
     return true;
 }
 
+void MemberTable::applyStatus(const VmStatus& status, TimePoint now)
+{
+    const auto it = m_members.find(status.vm);
+    if (it == m_members.end())
+        return;
+    it->second.ready = status.ready;
+    it->second.leaving = status.leaving;
+    it->second.heardAt = now;
+}
+
 bool MemberTable::takeForgetTurn(const VmId& vm, Duration silence, TimePoint now)
 {
     const auto it = m_members.find(vm);
@@ -83,16 +95,6 @@
     return member.heardAt && now - *member.heardAt < limit;
 }
 
-Duration MemberTable::storeUpElsewhere(TimePoint now) const noexcept
-{
-    Duration longest {};
-    for (const auto& [vm, member] : m_members) {
-        if (member.report && isHeard(member, now))
-            longest = std::max(longest, member.report->storeUpFor);
-    }
-    return longest;
-}
-
 std::vector<VmId> MemberTable::vmsOfRegion(std::string_view region) const
 {
     std::vector<VmId> vms;
--- a/src/entry/quota_sharing.cpp
+++ b/src/entry/quota_sharing.cpp
@@ -11,19 +11,23 @@
 
     /// Time constant of the demand average. Shorter follows single requests, longer lags behind moving clients.
     constexpr double demandSmoothingSeconds = 1.5;
-    /// Demand that each VM counts at least, as a part of an equal split of the rate, so that an idle VM keeps a share.
+    /// Demand that each domain counts at least, as a part of an equal split of the rate, so that an idle one keeps a
+    /// share.
     constexpr double baseDemandPart = 0.25;
     /// Part of the rate that shares hand out. The rest covers shares that change while reports are under way.
     constexpr double sharedPart = 0.97;
-    /// Part of the tolerated excess by which the fleet's bucket may be overdrawn for longer, and part that all VMs may
-    /// draw together before they have told each other. The rest covers lost reports.
-    constexpr double usedTolerance = 0.3;
-    constexpr double drawnTolerance = 0.6;
-    /// Silence of a VM after which its part of the rate stays with it. Reports come at least every 500 ms.
+    /// Part of the tolerated excess by which the fleet's bucket may be overdrawn for longer, and part that all domains
+    /// may draw together before they have told each other. The rest covers lost reports, and what a coordinator
+    /// admitted and had not reported when it died.
+    constexpr double usedTolerance = 0.25;
+    constexpr double drawnTolerance = 0.55;
+    /// Silence of a domain after which its part of the rate stays with it. Reports come at least every 300 ms.
     constexpr Duration silenceLimit = std::chrono::milliseconds(620);
-    /// Time within which a request that one VM admitted is known to the others.
+    /// Silence of a domain after which nothing is drawn from the fleet's bucket.
+    constexpr Duration reportLimit = std::chrono::milliseconds(1300);
+    /// Time within which a request that one domain admitted is known to the others.
     constexpr Duration exchangeTime = std::chrono::milliseconds(500);
-    /// Silence of any VM after which no more is drawn from a bucket that is less than half full. Reports come every
+    /// Silence of any domain after which no more is drawn from a bucket that is less than half full. Reports come every
     /// 200 ms then.
     constexpr Duration pressedSilenceLimit = std::chrono::milliseconds(750);
 
@@ -66,82 +70,115 @@
     account.fleetAt = now;
 }
 
-void QuotaSharing::applyReport(const Member& member, TimePoint now)
+void QuotaSharing::applyReport(const DomainReport& report, TimePoint now)
 {
-    if (!member.report)
-        return;
-    const auto& report = *member.report;
+    auto& hearing = m_heard[report.failureDomain];
+    // After a long silence the counters do not tell when the requests came.
+    const bool continued = now - hearing.at < reportLimit;
+    hearing.at = now;
+    if (const auto it = report.heard.find(m_ownDomain); it != report.heard.end()) {
+        const auto sent = std::ranges::find_if(m_sent, [&](const auto& item) {
+            return item.first.incarnation == it->second.incarnation && item.first.sequence == it->second.sequence;
+        });
+        if (sent != m_sent.end()) {
+            hearing.acknowledged = std::max(hearing.acknowledged, sent->second);
+            m_isKnown = true;
+        }
+    }
     for (auto& [name, account] : m_accounts) {
         const auto it = report.accounts.find(name);
         if (it == report.accounts.end())
             continue;
-        auto& peer = account.peers[report.process.vm];
         const auto& use = it->second;
-        const bool known = peer.incarnation == report.process.incarnation;
-        const auto before = known ? peer.admitted : 0;
-        if (use.admitted >= before) {
-            const auto spent = static_cast<double>(use.admitted - before);
+        auto& counter = account.counters[report.coordinator.vm];
+        const bool known = counter.incarnation == report.coordinator.incarnation;
+        const auto before = known ? counter.admitted : 0;
+        // The first report that is heard of a process says nothing of when its requests came.
+        if (continued && use.admitted >= before && counter.incarnation != 0) {
             refill(account, now);
-            // The first report that is heard of a process says nothing of when its requests came.
-            if (known || peer.incarnation != 0) {
-                account.fleetLevel -= spent;
-            }
+            account.fleetLevel -= static_cast<double>(use.admitted - before);
         }
-        peer.incarnation = report.process.incarnation;
-        peer.admitted = use.admitted;
-        peer.demand = use.demand;
+        counter = { report.coordinator.incarnation, use.admitted };
+        if (report.failureDomain == m_ownDomain)
+            account.demand = use.demand; // this VM would take over from there
+        else
+            account.domains[report.failureDomain].demand = use.demand;
+    }
+}
+
+void QuotaSharing::noteSent(const HeardReport& report, TimePoint now)
+{
+    m_sent.emplace_back(report, now);
+    while (now - m_sent.front().second > 2 * reportLimit)
+        m_sent.pop_front();
+}
+
+void QuotaSharing::startHolding(TimePoint now)
+{
+    const bool knowsFleet
+        = std::ranges::all_of(m_heard, [&](const auto& item) { return now - item.second.at < reportLimit; });
+    m_isKnown = false;
+    m_sent.clear();
+    for (auto& [name, account] : m_accounts) {
+        account.share = TokenBucket {};
+        // The coordinator before may have admitted requests that it did not report.
+        account.fleetLevel = (knowsFleet && !m_heard.empty() ? account.fleetLevel : 0) - tolerance(account);
     }
 }
 
-void QuotaSharing::updateShares(const MemberTable& members, TimePoint now)
+void QuotaSharing::updateShares(const std::set<std::string>& otherDomains, TimePoint now)
 {
     const double elapsed = std::max(1e-3, seconds(now - m_updatedAt));
     const bool first = m_updatedAt == TimePoint {};
     m_updatedAt = now;
-    m_vms = members.fleetSize();
-    std::vector<VmId> heard;
-    std::vector<VmId> silent;
+    m_domains = otherDomains.size() + 1;
+    std::vector<std::string> heard;
+    std::vector<std::string> silent;
     m_oldestHeard = now;
-    for (const auto& [vm, member] : members.others()) {
-        (MemberTable::isHeard(member, now, silenceLimit) ? heard : silent).push_back(vm);
-        m_oldestHeard = std::min(m_oldestHeard, member.heardAt.value_or(TimePoint {}));
+    m_exchangedAt = now;
+    for (const auto& domain : otherDomains) {
+        const auto it = m_heard.find(domain);
+        const auto hearing = it == m_heard.end() ? Hearing {} : it->second;
+        (now - hearing.at < silenceLimit ? heard : silent).push_back(domain);
+        m_oldestHeard = std::min(m_oldestHeard, hearing.at);
+        m_exchangedAt = std::min({ m_exchangedAt, hearing.at, hearing.acknowledged });
     }
     const double weight = 1 - std::exp(-elapsed / demandSmoothingSeconds);
     for (auto& [name, account] : m_accounts) {
         if (!first)
             account.demand += weight * (account.asked / elapsed - account.demand);
         account.asked = 0;
-        std::erase_if(account.peers, [&](const auto& item) { return !members.others().contains(item.first); });
+        std::erase_if(account.domains, [&](const auto& item) { return !otherDomains.contains(item.first); });
         account.rounding = std::fmod(account.rounding + goldenRatio, 1.0);
         setShare(account, heard, silent, now);
         refill(account, now);
         account.refillPart = 1;
-        for (const auto& vm : silent)
-            account.refillPart -= account.peers.at(vm).part;
+        for (const auto& domain : silent)
+            account.refillPart -= account.domains.at(domain).part;
         account.refillPart = std::max(0.0, account.refillPart);
         account.spending.push_back({ now, account.admitted });
-        while (account.spending.size() > 1 && account.spending[1].at <= now - exchangeTime)
+        while (account.spending.size() > 1 && account.spending[1].at <= std::min(m_oldestHeard, now - exchangeTime))
             account.spending.pop_front();
     }
 }
 
 void QuotaSharing::setShare(
-    Account& account, std::span<const VmId> heard, std::span<const VmId> silent, TimePoint now) const
+    Account& account, std::span<const std::string> heard, std::span<const std::string> silent, TimePoint now) const
 {
-    const double equal = 1.0 / static_cast<double>(m_vms);
+    const double equal = 1.0 / static_cast<double>(m_domains);
     const double base = baseDemandPart * account.rate * equal;
-    // A silent VM keeps the part that it had: it may still admit requests, and does not know of the others' demand.
+    // A silent domain keeps the part that it had: it may still admit requests, and does not know of the others' demand.
     double free = 1;
-    for (const auto& vm : silent)
-        free -= account.peers.try_emplace(vm, Peer { .part = equal }).first->second.part;
+    for (const auto& domain : silent)
+        free -= account.domains.try_emplace(domain, Domain { .part = equal }).first->second.part;
     free = std::max(0.0, free);
     double total = account.demand + base;
-    for (const auto& vm : heard)
-        total += base + account.peers.try_emplace(vm, Peer { .part = equal }).first->second.demand;
+    for (const auto& domain : heard)
+        total += base + account.domains.try_emplace(domain, Domain { .part = equal }).first->second.demand;
     const auto partOf = [&](double demand) { return total > 0 ? free * (demand + base) / total : free * equal; };
-    for (const auto& vm : heard) {
-        auto& peer = account.peers.at(vm);
-        peer.part = partOf(peer.demand);
+    for (const auto& name : heard) {
+        auto& domain = account.domains.at(name);
+        domain.part = partOf(domain.demand);
     }
     const double part = partOf(account.demand);
     account.share.setShare(
@@ -156,17 +193,23 @@
 
 Duration QuotaSharing::drawSilenceLimit(const Account& account)
 {
-    return account.fleetLevel < account.burst / 2 ? pressedSilenceLimit : MemberTable::reportLimit;
+    return account.fleetLevel < account.burst / 2 ? pressedSilenceLimit : reportLimit;
+}
+
+bool QuotaSharing::mayHold(TimePoint now) const
+{
+    return m_isKnown
+        || std::ranges::none_of(m_heard, [&](const auto& item) { return now - item.second.at < reportLimit; });
 }
 
 bool QuotaSharing::mayDraw(const Account& account, TimePoint now) const
 {
-    if (account.fleetLevel < 1 || now - m_oldestHeard > drawSilenceLimit(account))
+    if (account.fleetLevel < 1 || now - m_exchangedAt > drawSilenceLimit(account))
         return false;
     const auto before = account.spending.empty() ? 0 : account.spending.front().admitted;
     const auto recent = static_cast<double>(account.admitted - std::min(before, account.admitted));
     const double available = account.fleetLevel + recent + drawnTolerance / usedTolerance * tolerance(account);
-    return recent + 1 <= std::max(1.0, available / static_cast<double>(m_vms) + account.rounding);
+    return recent + 1 <= std::max(1.0, available / static_cast<double>(m_domains) + account.rounding);
 }
 
 bool QuotaSharing::admit(const std::string& name, TimePoint now)
@@ -181,11 +224,11 @@
         return true;
     }
     refill(account, now);
-    if (account.fleetLevel < -tolerance(account))
+    if (account.fleetLevel < -tolerance(account) || !mayHold(now))
         return false;
     const bool fromShare = account.share.trySpend(oneToken, now);
     if (!fromShare && !mayDraw(account, now)) {
-        m_wantsReport = account.fleetLevel >= 1;
+        m_wantsReport = m_wantsReport || account.fleetLevel >= 1;
         return false;
     }
     account.fleetLevel -= 1;
@@ -216,15 +259,15 @@
     auto& account = it->second;
     const auto tokens = [](MicroTokens n) { return static_cast<double>(n) / static_cast<double>(oneToken); };
     return fmt::format("rate={:.1f} burst={:.1f} fleet_level={:.1f} share_rate={:.2f} share_level={:.2f} demand={:.2f} "
-                       "oldest_report_ms={}",
+                       "exchanged_ms_ago={}",
         account.rate, account.burst, account.fleetLevel, tokens(account.share.rate()), tokens(account.share.level(now)),
-        account.demand, (now - m_oldestHeard) / std::chrono::milliseconds(1));
+        account.demand, (now - m_exchangedAt) / std::chrono::milliseconds(1));
 }
 
-std::map<std::string, AccountUse, std::less<>> QuotaSharing::takeUse(TimePoint now)
+AccountUses QuotaSharing::takeUse(TimePoint now)
 {
     m_wantsReport = false;
-    std::map<std::string, AccountUse, std::less<>> out;
+    AccountUses out;
     for (auto& [name, account] : m_accounts) {
         refill(account, now);
         out[name] = { .admitted = account.admitted, .demand = account.demand };
--- a/src/entry/reduce.cpp
+++ b/src/entry/reduce.cpp
@@ -6,9 +6,10 @@
     : settings(std::move(entrySettings))
     , random(seed)
     , selection(settings.region, settings.bounds, seed + 1)
-    , quota(settings.bounds)
+    , quota(settings.bounds, settings.failureDomain)
     , retries(settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack)
-    , members(std::move(self))
+    , members(self)
+    , coordination(std::move(self))
 {
 }
 
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -5,20 +5,22 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <set>
 
 namespace arbutuscrank::entry {
 
 namespace {
 
-    /// Interval of reports. Look-ups leave out VMs that were silent for three of them.
-    constexpr Duration reportInterval = std::chrono::milliseconds(500);
+    using std::chrono::milliseconds;
+
+    /// Interval of reports between coordinators. VMs report to theirs with each tick. Other failure domains are told over links that are paid for.
+    constexpr Duration domainReportInterval = milliseconds(300);
     /// Interval while some account has used up half of its burst, so that shares follow the demand.
-    constexpr Duration pressedReportInterval = std::chrono::milliseconds(200);
-    /// Least time between reports that an account waits for, for each VM of the fleet: 66 ms for 22 VMs. Each report is
-    /// a datagram to every VM.
-    constexpr Duration earlyReportPerVm = std::chrono::milliseconds(3);
-    /// Fleets above this size send reports less often, so that each VM receives about as many.
-    constexpr double fullRateFleet = 40;
+    constexpr Duration pressedDomainReportInterval = milliseconds(200);
+    /// Least time between reports that an account waits for.
+    constexpr Duration earlyReportInterval = milliseconds(50);
+    /// Coordinators of a silent failure domain that are told: the ranks that may have taken over.
+    constexpr std::size_t silentDomainRecipients = 3;
     /// Part of the withdrawal bound after which callers are sent to other VMs, before requests are refused.
     constexpr double staleLookupPart = 0.6;
     /// Time constant of the demand that splits between regions follow.
@@ -26,6 +28,8 @@
     /// A VM that was silent for this long is taken as removed. Restarts and cuts are over sooner; a VM that is only
     /// cut off registers again when it sees that its registration is gone.
     constexpr Duration forgetAfter = std::chrono::seconds(12);
+    /// Age up to which the coordinator's word on the fleet's load counts.
+    constexpr Duration fleetLoadLifetime = milliseconds(1300);
 
     void updateDemand(EntryState& state, double elapsedSeconds)
     {
@@ -36,42 +40,277 @@
         }
     }
 
-    std::map<std::string, std::map<std::string, double>> demandByRegion(const EntryState& state, TimePoint now)
+    template <typename Map> void addTo(Map& sums, const Map& terms)
     {
-        std::map<std::string, std::map<std::string, double>> out;
+        for (const auto& [key, value] : terms)
+            sums[key] += value;
+    }
+
+    InFlightCounts ownInFlight(const EntryState& state)
+    {
+        InFlightCounts out;
+        for (const auto& [id, target] : state.targets.all()) {
+            if (target.inFlight != 0)
+                out[target.reportKey()] += target.inFlight;
+        }
+        return out;
+    }
+
+    ServiceDemands ownDemand(const EntryState& state)
+    {
+        ServiceDemands out;
         for (const auto& [service, demand] : state.demand)
-            out[service][state.settings.region] += demand.perSecond;
+            out[service] = demand.perSecond;
+        return out;
+    }
+
+    Duration ownStoreUpFor(const EntryState& state, TimePoint now)
+    {
+        return state.storeUpSince ? now - *state.storeUpSince : Duration::zero();
+    }
+
+    /// Other VMs of this failure domain that have reported lately.
+    template <typename Use> void forHeardVms(const EntryState& state, TimePoint now, Use use)
+    {
         for (const auto& [vm, member] : state.members.others()) {
-            if (!member.report || !MemberTable::isHeard(member, now))
+            if (member.record.failureDomain == state.settings.failureDomain && member.report
+                && MemberTable::isHeard(member, now, MemberTable::reportLimit))
+                use(member);
+        }
+    }
+
+    bool sendsCallersHere(const EntryState& state, TimePoint now)
+    {
+        if (!isReady(state) || !state.policyConfirmedAt)
+            return false;
+        const auto age = std::chrono::duration<double>(now - *state.policyConfirmedAt).count();
+        return age < staleLookupPart * std::chrono::duration<double>(state.settings.bounds.withdrawal).count();
+    }
+
+    VmStatus ownStatus(const EntryState& state, TimePoint now)
+    {
+        return { state.members.self().process.vm, sendsCallersHere(state, now), state.stopRequestedAt.has_value() };
+    }
+
+    /// What the VMs of this failure domain have reported, without accounts.
+    DomainReport collectDomain(EntryState& state, TimePoint now)
+    {
+        DomainReport out {
+            .coordinator = state.members.self().process,
+            .sequence = ++state.messageSequence,
+            .failureDomain = state.settings.failureDomain,
+            .region = state.settings.region,
+            .storeUpFor = ownStoreUpFor(state, now),
+            .vms = { ownStatus(state, now) },
+            .demand = ownDemand(state),
+            .inFlight = ownInFlight(state),
+        };
+        for (const auto& [name, domain] : state.domains.all()) {
+            if (DomainTable::isHeard(domain, now))
+                out.heard[name] = { domain.report.coordinator.incarnation, domain.report.sequence };
+        }
+        forHeardVms(state, now, [&](const Member& member) {
+            out.vms.push_back({ member.record.process.vm, member.ready, member.leaving });
+            out.storeUpFor = std::max(out.storeUpFor, member.report->storeUpFor);
+            addTo(out.demand, member.report->demand);
+            addTo(out.inFlight, member.report->inFlight);
+        });
+        return out;
+    }
+
+    Digest makeDigest(const EntryState& state, const DomainReport& own, TimePoint now)
+    {
+        Digest out {
+            .coordinator = own.coordinator,
+            .sequence = own.sequence,
+            .leaving = state.stopRequestedAt.has_value(),
+            .storeUpFor = own.storeUpFor,
+            .vms = own.vms,
+            .demandByRegion = { { own.region, own.demand } },
+            .inFlight = own.inFlight,
+        };
+        for (const auto& [name, domain] : state.domains.all()) {
+            if (name == own.failureDomain || !DomainTable::isHeard(domain, now))
+                continue;
+            out.storeUpFor = std::max(out.storeUpFor, domain.report.storeUpFor);
+            out.vms.insert(out.vms.end(), domain.report.vms.begin(), domain.report.vms.end());
+            addTo(out.demandByRegion[domain.report.region], domain.report.demand);
+            addTo(out.inFlight, domain.report.inFlight);
+        }
+        return out;
+    }
+
+    std::vector<std::string> addressesOf(const EntryState& state, const std::vector<VmId>& vms)
+    {
+        std::vector<std::string> out;
+        for (const auto& vm : vms) {
+            const auto it = state.members.others().find(vm);
+            if (it != state.members.others().end())
+                out.push_back(it->second.record.reportAddress);
+        }
+        return out;
+    }
+
+    std::set<std::string> otherDomains(const EntryState& state)
+    {
+        std::set<std::string> out;
+        for (const auto& [vm, member] : state.members.others()) {
+            if (member.record.failureDomain != state.settings.failureDomain)
+                out.insert(member.record.failureDomain);
+        }
+        return out;
+    }
+
+    /// The coordinators of the other failure domains, or the VMs that may have become it.
+    std::vector<VmId> otherCoordinators(const EntryState& state, TimePoint now)
+    {
+        std::vector<VmId> out;
+        for (const auto& name : otherDomains(state)) {
+            const auto it = state.domains.all().find(name);
+            if (it != state.domains.all().end() && DomainTable::isHeard(it->second, now)) {
+                out.push_back(it->second.report.coordinator.vm);
                 continue;
-            for (const auto& [service, perSecond] : member.report->serviceDemand)
-                out[service][member.record.region] += perSecond;
+            }
+            const auto ranks = Coordination::ranking(state.members, name);
+            out.insert(out.end(), ranks.begin(),
+                ranks.begin() + static_cast<std::ptrdiff_t>(std::min(silentDomainRecipients, ranks.size())));
+        }
+        return out;
+    }
+
+    /// Tells the failure domain about the fleet; the VM that would take over also hears of the accounts.
+    void sendDigests(
+        const EntryState& state, const DomainReport& own, AccountUses accounts, TimePoint now, Effects& out)
+    {
+        auto digest = makeDigest(state, own, now);
+        std::vector<VmId> ranks = Coordination::ranking(state.members, state.settings.failureDomain);
+        std::erase(ranks, state.members.self().process.vm);
+        if (ranks.empty())
+            return;
+        const auto standby = addressesOf(state, { ranks.front() });
+        ranks.erase(ranks.begin());
+        if (!ranks.empty())
+            out.push_back(SendMessage { digest, addressesOf(state, ranks) });
+        digest.domains.push_back({ .coordinator = own.coordinator,
+            .sequence = own.sequence,
+            .failureDomain = own.failureDomain,
+            .accounts = std::move(accounts) });
+        for (const auto& [name, domain] : state.domains.all()) {
+            if (!DomainTable::isHeard(domain, now))
+                continue;
+            digest.domains.push_back({ .coordinator = domain.report.coordinator,
+                .sequence = domain.report.sequence,
+                .failureDomain = name,
+                .accounts = domain.report.accounts });
+        }
+        out.push_back(SendMessage { std::move(digest), standby });
+    }
+
+    void reportToCoordinator(EntryState& state, TimePoint now, Effects& out)
+    {
+        const auto status = ownStatus(state, now);
+        state.reportedInFlight = ownInFlight(state);
+        Report report {
+            .process = state.members.self().process,
+            .sequence = ++state.messageSequence,
+            .ready = status.ready,
+            .leaving = status.leaving,
+            .storeUpFor = ownStoreUpFor(state, now),
+            .demand = ownDemand(state),
+            .inFlight = state.reportedInFlight,
+        };
+        auto addresses = addressesOf(state, { state.coordination.followed() });
+        if (!addresses.empty())
+            out.push_back(SendMessage { std::move(report), std::move(addresses) });
+    }
+
+    void reportAsCoordinator(EntryState& state, TimePoint now, bool toOtherDomains, Effects& out)
+    {
+        auto own = collectDomain(state, now);
+        auto accounts = state.quota.takeUse(now);
+        sendDigests(state, own, accounts, now, out);
+        if (!toOtherDomains)
+            return;
+        state.reportedAt = now;
+        state.quota.noteSent({ own.coordinator.incarnation, own.sequence }, now);
+        own.accounts = std::move(accounts);
+        out.push_back(SendMessage { std::move(own), addressesOf(state, otherCoordinators(state, now)) });
+    }
+
+    std::map<std::string, ServiceDemands> demandByRegion(const EntryState& state, TimePoint now)
+    {
+        std::map<std::string, ServiceDemands> byRegion;
+        if (state.coordination.isCoordinator()) {
+            addTo(byRegion[state.settings.region], ownDemand(state));
+            forHeardVms(state, now, [&](const Member& member) {
+                addTo(byRegion[state.settings.region], member.report->demand);
+            });
+            for (const auto& [name, domain] : state.domains.all()) {
+                if (DomainTable::isHeard(domain, now))
+                    addTo(byRegion[domain.report.region], domain.report.demand);
+            }
+        } else {
+            byRegion = state.fleetLoad.demandByRegion;
+        }
+        return byRegion;
+    }
+
+    /// The same by service and region.
+    std::map<std::string, std::map<std::string, double>> demandByService(const EntryState& state, TimePoint now)
+    {
+        std::map<std::string, std::map<std::string, double>> out;
+        for (const auto& [region, demands] : demandByRegion(state, now)) {
+            for (const auto& [service, perSecond] : demands)
+                out[service][region] += perSecond;
+        }
+        return out;
+    }
+
+    InFlightCounts othersInFlight(const EntryState& state, TimePoint now)
+    {
+        InFlightCounts out;
+        if (state.coordination.isCoordinator()) {
+            forHeardVms(state, now, [&](const Member& member) { addTo(out, member.report->inFlight); });
+            for (const auto& [name, domain] : state.domains.all()) {
+                if (DomainTable::isHeard(domain, now))
+                    addTo(out, domain.report.inFlight);
+            }
+            return out;
+        }
+        if (!state.fleetLoad.heardAt || now - *state.fleetLoad.heardAt > fleetLoadLifetime)
+            return out;
+        out = state.fleetLoad.inFlight;
+        for (const auto& [target, own] : state.reportedInFlight) {
+            auto& all = out[target];
+            all -= std::min(all, own);
         }
         return out;
     }
 
     void updateOthersInFlight(EntryState& state, TimePoint now)
     {
+        const auto counts = othersInFlight(state, now);
         for (auto& [id, target] : state.targets.all()) {
-            target.othersInFlight = 0;
-            for (const auto& [vm, member] : state.members.others()) {
-                if (!member.report || !MemberTable::isHeard(member, now, MemberTable::reportLimit))
-                    continue;
-                const auto it = member.report->inFlight.find(target.reportKey());
-                target.othersInFlight += it == member.report->inFlight.end() ? 0 : it->second;
-            }
+            const auto it = counts.find(target.reportKey());
+            target.othersInFlight = it == counts.end() ? 0 : it->second;
         }
     }
 
-    /// The first of the VMs that are heard removes the registrations of those that are not.
+    /// A coordinator removes the registrations of its failure domain's silent VMs, and of domains that are silent as a
+    /// whole if it is the first of the coordinators that are heard.
     void forgetSilent(EntryState& state, TimePoint now, Effects& out)
     {
+        if (!state.coordination.isCoordinator())
+            return;
+        const auto& own = state.settings.failureDomain;
+        const bool isFirst = std::ranges::none_of(state.domains.all(),
+            [&](const auto& item) { return item.first < own && DomainTable::isHeard(item.second, now); });
         std::vector<VmId> silent;
         for (const auto& [vm, member] : state.members.others()) {
-            const bool heard = MemberTable::isHeard(member, now);
-            if (heard && vm < state.members.self().process.vm)
-                return;
-            if (!heard)
+            const auto& domain = member.record.failureDomain;
+            const auto it = state.domains.all().find(domain);
+            const bool domainHeard = it != state.domains.all().end() && DomainTable::isHeard(it->second, now);
+            if (!MemberTable::isHeard(member, now) && (domain == own || (isFirst && !domainHeard)))
                 silent.push_back(vm);
         }
         for (const auto& vm : silent) {
@@ -82,55 +321,112 @@
         }
     }
 
-    bool sendsCallersHere(const EntryState& state, TimePoint now)
+    void updateCoordination(EntryState& state, TimePoint now, Effects& out)
     {
-        if (!isReady(state) || !state.policyConfirmedAt)
-            return false;
-        const auto age = std::chrono::duration<double>(now - *state.policyConfirmedAt).count();
-        return age < staleLookupPart * std::chrono::duration<double>(state.settings.bounds.withdrawal).count();
+        if (!state.membersListed)
+            return; // the ranks are not known
+        const auto before = state.coordination.followed();
+        const bool became = state.coordination.update(state.members, now);
+        if (became) {
+            state.quota.startHolding(now);
+            reportAsCoordinator(state, now, true, out);
+        }
+        if (became || state.coordination.followed() != before)
+            out.push_back(WriteLog { LogEvent::CoordinatorChanged,
+                fmt::format("failure_domain={} coordinator={} previous={}", state.settings.failureDomain,
+                    became ? state.members.self().process.vm : state.coordination.followed(), before) });
     }
 
 } // namespace
 
-void sendEarlyReport(EntryState& state, TimePoint now, Effects& out)
+Duration storeUpElsewhere(const EntryState& state, TimePoint now)
+{
+    if (!state.coordination.isCoordinator()) {
+        const bool heard = state.fleetLoad.heardAt && now - *state.fleetLoad.heardAt < fleetLoadLifetime;
+        return heard ? state.fleetLoad.storeUpFor : Duration::zero();
+    }
+    Duration longest {};
+    forHeardVms(state, now, [&](const Member& member) { longest = std::max(longest, member.report->storeUpFor); });
+    for (const auto& [name, domain] : state.domains.all()) {
+        if (DomainTable::isHeard(domain, now))
+            longest = std::max(longest, domain.report.storeUpFor);
+    }
+    return longest;
+}
+
+void sendReports(EntryState& state, TimePoint now, Effects& out)
 {
-    const auto fleet = static_cast<Duration::rep>(state.members.fleetSize());
-    const auto interval = std::min(reportInterval, earlyReportPerVm * fleet);
-    if (!state.reportedAt || now - *state.reportedAt >= interval)
-        sendReport(state, now, out);
+    if (state.coordination.isCoordinator())
+        reportAsCoordinator(state, now, true, out);
+    else
+        reportToCoordinator(state, now, out);
 }
 
-void sendReport(EntryState& state, TimePoint now, Effects& out)
+void sendEarlyReports(EntryState& state, TimePoint now, Effects& out)
 {
-    state.reportedAt = now;
-    Report report {
-        .process = state.members.self().process,
-        .sequence = ++state.reportSequence,
-        .ready = sendsCallersHere(state, now),
-        .leaving = state.stopRequestedAt.has_value(),
-        .storeUpFor = state.storeUpSince ? now - *state.storeUpSince : Duration::zero(),
-        .accounts = state.quota.takeUse(now),
-    };
-    for (const auto& [service, demand] : state.demand)
-        report.serviceDemand[service] = demand.perSecond;
-    for (const auto& [id, target] : state.targets.all()) {
-        if (target.inFlight != 0)
-            report.inFlight[target.reportKey()] = target.inFlight;
-    }
-    out.push_back(SendReport { std::move(report) });
+    if (!state.reportedAt || now - *state.reportedAt >= earlyReportInterval)
+        sendReports(state, now, out);
 }
 
 void apply(EntryState& state, const ReportReceived& event, TimePoint now, Effects& out)
 {
     const auto& vm = event.report.process.vm;
     const auto before = state.members.others().find(vm);
-    const bool knew = before != state.members.others().end() && before->second.report
-        && before->second.report->process == event.report.process;
+    const bool changed = before == state.members.others().end() || before->second.ready != event.report.ready
+        || before->second.leaving != event.report.leaving;
     if (!state.members.applyReport(event.report, now))
         return;
-    state.quota.applyReport(state.members.others().at(vm), now);
-    if (!knew)
-        sendReport(state, now, out);
+    state.coordination.heardReport(now);
+    if (changed && state.coordination.isCoordinator())
+        sendEarlyReports(state, now, out);
+}
+
+void apply(EntryState& state, const DomainReportReceived& event, TimePoint now, Effects& out)
+{
+    const auto& report = event.report;
+    const auto before = state.domains.all().find(report.failureDomain);
+    const bool isNew = before == state.domains.all().end() || before->second.report.coordinator != report.coordinator;
+    if (report.failureDomain == state.settings.failureDomain || !state.domains.apply(report, now))
+        return;
+    for (const auto& status : report.vms)
+        state.members.applyStatus(status, now);
+    state.quota.applyReport(report, now);
+    // A new coordinator admits nothing before it knows that it is heard.
+    if (isNew && state.coordination.isCoordinator())
+        sendEarlyReports(state, now, out);
+}
+
+void apply(EntryState& state, const DigestReceived& event, TimePoint now, Effects& out)
+{
+    const auto& digest = event.digest;
+    state.coordination.heard(digest.coordinator.vm, digest.leaving, now);
+    updateCoordination(state, now, out);
+    if (state.coordination.isCoordinator() || state.coordination.followed() != digest.coordinator.vm)
+        return;
+    for (const auto& status : digest.vms)
+        state.members.applyStatus(status, now);
+    for (const auto& domain : digest.domains)
+        state.quota.applyReport(domain, now);
+    state.fleetLoad = { digest.demandByRegion, digest.inFlight, digest.storeUpFor, now };
+}
+
+void apply(EntryState& state, const AdmissionAsked& event, TimePoint now, Effects& out)
+{
+    const auto asker = state.members.others().find(event.ask.vm);
+    if (!state.coordination.isCoordinator() || asker == state.members.others().end())
+        return;
+    AdmissionAnswer answer { .request = event.ask.request };
+    answer.admitted = state.quota.admit(event.ask.account, now);
+    if (!answer.admitted)
+        answer.retryAfter = state.quota.timeUntilToken(event.ask.account, now);
+    out.push_back(SendMessage { answer, { asker->second.record.reportAddress } });
+    if (state.quota.wantsReport())
+        sendEarlyReports(state, now, out);
+}
+
+void apply(EntryState& state, const AdmissionReturned& event, TimePoint, Effects&)
+{
+    state.quota.giveBack(event.returned.account);
 }
 
 void apply(EntryState& state, const Tick&, TimePoint now, Effects& out)
@@ -139,9 +435,11 @@
     state.tickedAt = now;
     if (elapsed > 0)
         updateDemand(state, elapsed);
-    state.quota.updateShares(state.members, now);
+    updateCoordination(state, now, out);
+    state.domains.expire(now);
+    state.quota.updateShares(otherDomains(state), now);
     updateOthersInFlight(state, now);
-    state.selection.updateSplits(state.targets, demandByRegion(state, now), now);
+    state.selection.updateSplits(state.targets, demandByService(state, now), now);
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
     for (const auto& id : state.targets.expire(now))
         out.push_back(WriteLog { LogEvent::TargetDrained, fmt::format("target={} cause=lapsed", id) });
@@ -149,16 +447,16 @@
         state.keyedRefused = true;
         out.push_back(WriteLog { LogEvent::ConfigurationStale,
             fmt::format("version={} age_ms={}", state.policy.policy().version,
-                (now - *state.policyConfirmedAt) / std::chrono::milliseconds(1)) });
+                (now - *state.policyConfirmedAt) / milliseconds(1)) });
     }
-    auto interval = state.quota.isPressed() ? pressedReportInterval : reportInterval;
-    const auto fleet = static_cast<double>(state.members.fleetSize());
-    if (fleet > fullRateFleet)
-        interval = reportInterval;
     if (!state.storeAway && !state.stopRequestedAt)
         forgetSilent(state, now, out);
-    if (!state.reportedAt || now - *state.reportedAt >= interval)
-        sendReport(state, now, out);
+    if (!state.coordination.isCoordinator()) {
+        reportToCoordinator(state, now, out);
+        return;
+    }
+    const auto interval = state.quota.isPressed() ? pressedDomainReportInterval : domainReportInterval;
+    reportAsCoordinator(state, now, !state.reportedAt || now - *state.reportedAt >= interval, out);
 }
 
 void apply(EntryState& state, const StopRequested&, TimePoint now, Effects& out)
@@ -167,7 +465,7 @@
         return;
     state.stopRequestedAt = now;
     out.push_back(WriteLog { LogEvent::StopStarted, fmt::format("requests={}", state.requests.size()) });
-    sendReport(state, now, out);
+    sendReports(state, now, out);
 }
 
 } // namespace arbutuscrank::entry
--- a/src/entry/reduce_requests.cpp
+++ b/src/entry/reduce_requests.cpp
@@ -1,5 +1,6 @@
 #include "entry/reducers.hpp"
 
+#include "entry/admission.hpp"
 #include "entry/attempts.hpp"
 
 #include <arbutuscrank/config/codec.hpp>
@@ -99,26 +100,15 @@
             refuse(event, 401, "unknown-key", {}, fmt::format("version={}", version), out);
             return;
         }
-        const bool admitted = state.quota.admit(account->name, now);
-        if (state.quota.wantsReport())
-            sendEarlyReport(state, now, out);
-        if (!admitted) {
-            const auto wait = std::clamp<Duration>(
-                state.quota.timeUntilToken(account->name, now), std::chrono::milliseconds(100), maxRetryAfter);
-            refuse(event, 429, "over-quota", wait,
-                fmt::format(
-                    "account={} version={} {}", account->name, version, state.quota.describe(account->name, now)),
-                out);
-            return;
-        }
     }
     auto request = makeRequest(event, *route, account, now);
     request.service = chooseService(state, *route);
-    ++state.demand[request.service].arrivals;
-    state.retries.countRequest(request.service, now);
     auto& stored = state.requests.emplace(event.request, std::move(request)).first->second;
     out.push_back(SetExpiry { event.request, stored.deadline });
-    attempts::sendFirst(state, event.request, stored, now, out);
+    if (account && account->ratePerSecond > 0)
+        admission::begin(state, event.request, stored, now, out);
+    else
+        attempts::start(state, event.request, stored, now, out);
 }
 
 void apply(EntryState& state, const CallerLeft& event, TimePoint now, Effects& out)
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -14,7 +14,7 @@
     /// The store answered others before it answered this VM: then it was not down, this VM was cut off.
     void noteStoreElsewhere(EntryState& state, TimePoint now)
     {
-        const auto up = state.members.storeUpElsewhere(now);
+        const auto up = storeUpElsewhere(state, now);
         if (up > Duration::zero())
             state.targets.storeUpElsewhere(now - up);
     }
@@ -108,6 +108,7 @@
 void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects&)
 {
     state.members.applySnapshot(event.records, now);
+    state.membersListed = true;
     state.retries.setFleetSize(state.members.fleetSize());
 }
 
@@ -117,8 +118,8 @@
     state.retries.setFleetSize(state.members.fleetSize());
     if (event.record.process.vm != state.members.self().process.vm) {
         out.push_back(WriteLog { LogEvent::MemberJoined,
-            fmt::format("member={} incarnation={}", event.record.process.vm, event.record.process.incarnation) });
-        sendReport(state, now, out);
+            fmt::format("member={} failure_domain={}", event.record.process.vm, event.record.failureDomain) });
+        sendReports(state, now, out);
     }
 }
 
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -14,6 +14,7 @@
 void apply(EntryState& state, const AttemptAnswered& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const AttemptFailed& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const RequestExpired& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const AdmissionDue& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const HedgeDue& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const PolicyRead& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const PolicyConfirmed& event, TimePoint now, Effects& out);
@@ -27,13 +28,21 @@
 void apply(EntryState& state, const StoreFailed& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StoreAnswered& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const ReportReceived& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const DomainReportReceived& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const DigestReceived& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const AdmissionAsked& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const AdmissionAnswered& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const AdmissionReturned& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const Tick& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StopRequested& event, TimePoint now, Effects& out);
 
-/// \brief Sends a report if the last one is not too recent: an account waits for an exchange.
-void sendEarlyReport(EntryState& state, TimePoint now, Effects& out);
+/// \brief Tells the fleet what this VM knows, at once: its coordinator, or the other coordinators and its domain.
+void sendReports(EntryState& state, TimePoint now, Effects& out);
 
-/// \brief Sends a report to the other VMs at once.
-void sendReport(EntryState& state, TimePoint now, Effects& out);
+/// \brief Does the same unless the last report is too recent: an account waits for an exchange.
+void sendEarlyReports(EntryState& state, TimePoint now, Effects& out);
+
+/// \brief Longest time for which the store has answered some other VM.
+[[nodiscard]] Duration storeUpElsewhere(const EntryState& state, TimePoint now);
 
 } // namespace arbutuscrank::entry
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -39,12 +39,17 @@
 {
 }
 
-void CollectionReader::restart()
+void CollectionReader::stop()
 {
     ++m_generation;
     m_timer.cancel();
     m_pages.clear();
     m_store->abandonReads(m_collection);
+}
+
+void CollectionReader::restart()
+{
+    stop();
     list({});
 }
 
@@ -72,7 +77,7 @@
             }
             self->m_failures = 0;
             self->m_handlers.listed(std::exchange(self->m_pages, {}));
-            self->m_handlers.confirmed(sentAt);
+            self->m_handlers.confirmed(page.confirmedAt.value_or(sentAt));
             self->watch();
         });
 }
@@ -92,7 +97,7 @@
             self->m_revision = std::max(self->m_revision, result.value().revision);
             for (const auto& change : result.value().changes)
                 self->m_handlers.changed(change);
-            self->m_handlers.confirmed(sentAt);
+            self->m_handlers.confirmed(result.value().confirmedAt.value_or(sentAt));
             if (result.value().changes.empty())
                 self->watch();
             else
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -35,6 +35,9 @@
 
     void start() { list({}); }
 
+    /// \brief Gives up what is under way. Nothing is told until \ref restart.
+    void stop();
+
     /// \brief Reads the collection anew: the connection of the waiting watch may be dead.
     void restart();
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "node/clock.hpp"
 #include "node/member_codec.hpp"
+#include "node/message_codec.hpp"
 #include "node/state_dump.hpp"
 
 #include <fmt/format.h>
@@ -22,6 +23,10 @@
     constexpr Duration listenAfterStop = milliseconds(3200);
     /// Time that is left of the stop's bound when the process ends by itself.
     constexpr Duration stopMargin = milliseconds(350);
+    /// Time for which a VM reads the store itself after its coordinator's feed has failed.
+    constexpr Duration directTime = std::chrono::seconds(4);
+    /// Time for which a starting VM waits for a coordinator that starts too.
+    constexpr Duration feedPatience = milliseconds(1500);
     /// Wait before a failed accept is tried again, so that a lack of descriptors does not spin.
     constexpr Duration acceptPause = milliseconds(50);
 
@@ -44,7 +49,8 @@
             .region = settings.region,
             .failureDomain = settings.failureDomain,
             .callerAddress = settings.callerAddress,
-            .reportAddress = settings.reportAddress };
+            .reportAddress = settings.reportAddress,
+            .capacity = settings.capacity };
     }
 
     std::string headerOf(const CallerRequest& request, const std::string& name)
@@ -91,17 +97,12 @@
     , m_log(settings.vm, settings.logLevel, STDOUT_FILENO)
     , m_state(settings, selfRecord(settings), std::random_device {}())
     , m_targets(context, m_platform.headers)
-    , m_reports(context,
-          [this](Result<entry::Report> report) {
-              if (report)
-                  dispatch(entry::ReportReceived { std::move(report.value()) });
-              else
-                  log(LogEvent::PeerProtocolError, describe(report.error()));
-          })
+    , m_messages(context, [this](std::string_view bytes) { messageReceived(bytes); })
     , m_readiness(context, [this](std::string_view target) { return serveReadiness(target); })
     , m_lookups(context, [this](std::string_view target) { return serveLookup(target); })
     , m_inspection(context, [this](std::string_view target) { return serveInspection(target); })
     , m_tickTimer(context)
+    , m_store(std::make_shared<SharedStore>(context, m_platform.store))
 {
     m_callerHandlers = {
         .nextId = [this] { return ++m_lastRequest; },
@@ -129,12 +130,15 @@
     BOOST_OUTCOME_TRY(m_readiness.open(settings.readinessAddress));
     BOOST_OUTCOME_TRY(m_lookups.open(settings.lookupAddress));
     BOOST_OUTCOME_TRY(m_inspection.open(settings.metricsAddress));
-    BOOST_OUTCOME_TRY(m_reports.open(settings.reportAddress));
+    BOOST_OUTCOME_TRY(m_messages.open(settings.reportAddress));
+    BOOST_OUTCOME_TRY(m_store->open(settings.reportAddress));
+    m_startedAt = currentTime();
     log(LogEvent::ProcessStarted,
         fmt::format("incarnation={} region={} failure_domain={} store={}", m_state.members.self().process.incarnation,
             settings.region, settings.failureDomain, settings.storeAddress));
     acceptCallers();
-    startReaders();
+    makeReaders();
+    m_readers.at(Collection::Members)->start();
     tick();
     return outcome::success();
 }
@@ -191,14 +195,23 @@
     dispatch(event);
 }
 
+void EntryNode::messageReceived(std::string_view bytes)
+{
+    auto message = decodeMessage(bytes);
+    if (message)
+        dispatch(toEvent(std::move(message.value())));
+    else
+        log(LogEvent::PeerProtocolError, describe(message.error()));
+}
+
 // --- Store -----------------------------------------------------------------------------------------------------------
 
-void EntryNode::startReaders()
+void EntryNode::makeReaders()
 {
     // A watch of the policy that answers in time is the evidence that no key was withdrawn: its wait is a part of the
-    // bound on withdrawals. The other collections only need a connection that is known to live, which the policy's
+    // bound on withdrawals, twice over, since the coordinator's evidence is passed on. The other collections only need a connection that is known to live, which the policy's
     // reader shows: when it fails, all are read anew.
-    const Duration policyWait = m_state.settings.bounds.withdrawal * 2 / 5;
+    const Duration policyWait = m_state.settings.bounds.withdrawal / 5;
     constexpr Duration longWait = std::chrono::seconds(25);
     // Changes that come together, as at a start or a release, are read with one call. The pause is a small part of the
     // bound on targets that leave.
@@ -209,13 +222,33 @@
         const CollectionReader::Pace pace = collection == Collection::Policy
             ? CollectionReader::Pace { policyWait, policyPause }
             : CollectionReader::Pace { longWait, pause };
-        auto reader = std::make_shared<CollectionReader>(
-            m_context, m_platform.store, collection, pace, readerHandlers(collection));
-        m_readers.emplace(collection, reader);
-        reader->start();
+        m_readers.emplace(collection,
+            std::make_shared<CollectionReader>(m_context, m_store, collection, pace, readerHandlers(collection)));
     }
 }
 
+void EntryNode::chooseStoreSource()
+{
+    const auto& coordination = m_state.coordination;
+    if (!coordination.isCoordinator() && coordination.followed().empty())
+        return; // nobody coordinates yet
+    const auto now = currentTime();
+    const bool direct = coordination.isCoordinator() || (m_directUntil && now < *m_directUntil);
+    std::string source;
+    if (const auto it = m_state.members.others().find(coordination.followed());
+        !direct && it != m_state.members.others().end())
+        source = it->second.record.reportAddress;
+    if (m_readersStarted && source == m_store->source())
+        return;
+    for (const auto& [collection, reader] : m_readers)
+        reader->stop();
+    m_store->setSource(source);
+    m_readersStarted = true;
+    log(LogEvent::StoreSourceChanged, fmt::format("source={}", source.empty() ? "store" : source));
+    for (const auto& [collection, reader] : m_readers)
+        reader->restart();
+}
+
 CollectionReader::Handlers EntryNode::readerHandlers(Collection collection)
 {
     return {
@@ -223,7 +256,6 @@
         .changed = [this, collection](const StoreChange& change) { changed(collection, change); },
         .confirmed =
             [this, collection](TimePoint sentAt) {
-                ++m_storeCalls;
                 dispatch(entry::StoreAnswered {});
                 if (collection == Collection::Policy && m_state.policy.policy().version != 0)
                     dispatch(entry::PolicyConfirmed { sentAt });
@@ -236,9 +268,15 @@
 {
     ++m_storeFailures;
     const bool historyGone = error.code == ErrorCode::NotFound;
+    if (!m_store->source().empty()) {
+        feedFailed(collection, error);
+        return;
+    }
     const bool wasAway = m_state.storeAway;
-    if (!historyGone)
+    if (!historyGone) {
+        m_store->storeFailed();
         dispatch(entry::StoreFailed {});
+    }
     if (!wasAway)
         log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
     if (collection != Collection::Policy || wasAway)
@@ -250,6 +288,19 @@
     }
 }
 
+void EntryNode::feedFailed(Collection collection, const Error& error)
+{
+    if (error.code == ErrorCode::NotFound)
+        return; // the reader lists the collection anew
+    // While this VM starts, its coordinator may be starting too. Later it is not waited for.
+    const bool starting = m_state.policy.policy().version == 0 && currentTime() - m_startedAt < feedPatience;
+    if (starting && error.code == ErrorCode::Unavailable)
+        return;
+    log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
+    m_directUntil = currentTime() + directTime;
+    chooseStoreSource();
+}
+
 void EntryNode::readPolicy(const StoreObject& object)
 {
     auto policy = m_platform.decoder->decodePolicy(object);
@@ -357,9 +408,8 @@
     m_registering = true;
     auto object = wanted;
     object.revision = found ? found->revision : 0;
-    m_platform.store->write(Collection::Members, object, [this](Result<ObjectVersion> result) {
+    m_store->write(Collection::Members, object, [this](Result<ObjectVersion> result) {
         m_registering = false;
-        ++m_storeCalls;
         if (result)
             return;
         log(LogEvent::StoreCallFailed, fmt::format("collection=members {}", describe(result.error())));
@@ -373,6 +423,7 @@
 void EntryNode::tick()
 {
     dispatch(entry::Tick {});
+    chooseStoreSource();
     m_log.flush(currentTime());
     if (m_state.stopRequestedAt)
         continueStop();
@@ -508,11 +559,21 @@
 
 void EntryNode::perform(const entry::CloseIdle& effect) { m_targets.closeIdle(effect.target); }
 
-void EntryNode::perform(const entry::SendReport& effect)
+void EntryNode::perform(const entry::SetAdmissionDue& effect)
+{
+    const auto it = m_callers.find(effect.request);
+    if (it == m_callers.end())
+        return;
+    it->second.hedge.expires_after(effect.at - currentTime());
+    it->second.hedge.async_wait([this, request = effect.request](SystemError ec) {
+        if (!ec)
+            dispatch(entry::AdmissionDue { request });
+    });
+}
+
+void EntryNode::perform(const entry::SendMessage& effect)
 {
-    const auto bytes = encodeReport(effect.report);
-    for (const auto& [vm, member] : m_state.members.others())
-        m_reports.send(bytes, member.record.reportAddress);
+    m_messages.send(encodeMessage(effect.message), effect.addresses);
 }
 
 void EntryNode::perform(const entry::ForgetMember& effect)
@@ -520,8 +581,7 @@
     const auto it = m_memberRevisions.find(effect.vm);
     if (it == m_memberRevisions.end())
         return;
-    m_platform.store->remove(Collection::Members, effect.vm, it->second, [this](Result<ObjectVersion> result) {
-        ++m_storeCalls;
+    m_store->remove(Collection::Members, effect.vm, it->second, [this](Result<ObjectVersion> result) {
         if (!result)
             log(LogEvent::StoreCallFailed, fmt::format("collection=members {}", describe(result.error())));
     });
@@ -579,7 +639,7 @@
     add("gauge", "requests_in_flight", m_state.requests.size());
     add("gauge", "targets_known", m_state.targets.all().size());
     add("gauge", "members_known", m_state.members.fleetSize());
-    add("counter", "store_calls_answered_total", m_storeCalls);
+    add("counter", "store_calls_total", m_store->platformCalls());
     add("counter", "store_calls_failed_total", m_storeFailures);
     add("counter", "target_connections_opened_total", m_targets.connectionsOpened());
     add("counter", "log_lines_dropped_total", m_log.dropped());
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -2,7 +2,8 @@
 
 #include "node/caller_session.hpp"
 #include "node/collection_reader.hpp"
-#include "node/report_socket.hpp"
+#include "node/message_socket.hpp"
+#include "node/shared_store.hpp"
 #include "node/simple_server.hpp"
 #include "node/target_connections.hpp"
 #include "telemetry/event_log.hpp"
@@ -42,7 +43,7 @@
         std::shared_ptr<const CallerRequest> request;
         TimePoint arrivedAt {};
         asio::steady_timer expiry;
-        asio::steady_timer hedge;
+        asio::steady_timer hedge; ///< or the next question to the coordinator
         std::map<entry::AttemptId, CallerAnswer> answers; ///< not delivered yet
     };
 
@@ -51,13 +52,16 @@
     void requestArrived(RequestId id, const std::shared_ptr<const CallerRequest>& request,
         const std::shared_ptr<CallerSession>& session);
     void attemptEnded(RequestId request, entry::AttemptId attempt, AttemptResult result);
-    void startReaders();
+    void messageReceived(std::string_view bytes);
+    void makeReaders();
+    void chooseStoreSource();
     CollectionReader::Handlers readerHandlers(Collection collection);
     void listed(Collection collection, const std::vector<StoreObject>& objects);
     void changed(Collection collection, const StoreChange& change);
     void readPolicy(const StoreObject& object);
     [[nodiscard]] std::vector<entry::TargetRecord> decodeTargets(const std::vector<StoreObject>& objects);
     void storeCallFailed(Collection collection, const Error& error);
+    void feedFailed(Collection collection, const Error& error);
     void registerSelf(const StoreObject* found);
     void tick();
     void continueStop();
@@ -71,7 +75,8 @@
     void perform(const entry::SetExpiry& effect);
     void perform(const entry::SetHedge& effect);
     void perform(const entry::CloseIdle& effect);
-    void perform(const entry::SendReport& effect);
+    void perform(const entry::SetAdmissionDue& effect);
+    void perform(const entry::SendMessage& effect);
     void perform(const entry::ForgetMember& effect);
     void perform(const entry::WriteLog& effect);
     void answerCaller(RequestId request, CallerAnswer answer);
@@ -90,7 +95,7 @@
     Metrics m_metrics;
     entry::EntryState m_state;
     TargetConnections m_targets;
-    ReportSocket m_reports;
+    MessageSocket m_messages;
     CallerHandlers m_callerHandlers;
     std::optional<Tcp::acceptor> m_acceptor;
     SimpleServer m_readiness;
@@ -99,7 +104,11 @@
     asio::steady_timer m_tickTimer;
     std::map<RequestId, Caller> m_callers;
     std::vector<std::weak_ptr<CallerSession>> m_sessions;
+    std::shared_ptr<SharedStore> m_store;
     std::map<Collection, std::shared_ptr<CollectionReader>> m_readers;
+    TimePoint m_startedAt {};
+    bool m_readersStarted = false; ///< all of them; the members' reader starts first
+    std::optional<TimePoint> m_directUntil; ///< until when the feed is not used after it has failed
     std::map<std::string, ObjectVersion> m_memberRevisions;
     std::set<std::string> m_evacuations;
     std::set<std::string> m_refusedObjects; ///< entries of the store that could not be read, logged once
@@ -109,7 +118,6 @@
     bool m_stopListening = false;
     RequestId m_lastRequest = 0;
     std::uint64_t m_storeFailures = 0;
-    std::uint64_t m_storeCalls = 0;
 };
 
 } // namespace arbutuscrank::node
--- a/src/node/member_codec.cpp
+++ b/src/node/member_codec.cpp
@@ -11,6 +11,7 @@
         { "failureDomain", member.failureDomain },
         { "callerAddress", member.callerAddress },
         { "reportAddress", member.reportAddress },
+        { "capacity", member.capacity },
     };
     return { .name = member.process.vm, .body = body.dump() };
 }
@@ -25,6 +26,7 @@
             .failureDomain = body.at("failureDomain").get<std::string>(),
             .callerAddress = body.at("callerAddress").get<std::string>(),
             .reportAddress = body.at("reportAddress").get<std::string>(),
+            .capacity = body.value("capacity", 0.0),
         };
     } catch (const nlohmann::json::exception& ec) {
         return Error { ErrorCode::Protocol, "member.decode", object.name, ec.what() };
--- /dev/null
+++ b/src/node/message_codec.cpp
@@ -0,0 +1,258 @@
+#include "node/message_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace arbutuscrank::node {
+
+namespace {
+
+    using Json = nlohmann::json;
+    using std::chrono::milliseconds;
+
+    /// Raised with each change that earlier programs cannot read.
+    constexpr int protocolVersion = 2;
+
+    /// First element of a message. Numbers are never reused.
+    enum class Kind : std::uint8_t { Report, DomainReport, Digest, AdmissionAsk, AdmissionAnswer, AdmissionReturn };
+
+    // --- Parts: arrays instead of maps, since the same names would be repeated in each element ---
+
+    Json encodeProcess(const ProcessId& process) { return { process.vm, process.incarnation }; }
+
+    ProcessId decodeProcess(const Json& json)
+    {
+        return { json.at(0).get<std::string>(), json.at(1).get<Incarnation>() };
+    }
+
+    Json encodeStatuses(const std::vector<entry::VmStatus>& vms)
+    {
+        auto out = Json::array();
+        for (const auto& it : vms) {
+            out.push_back(it.vm);
+            out.push_back((it.ready ? 1 : 0) + (it.leaving ? 2 : 0));
+        }
+        return out;
+    }
+
+    std::vector<entry::VmStatus> decodeStatuses(const Json& json)
+    {
+        std::vector<entry::VmStatus> out;
+        for (std::size_t i = 0; i + 1 < json.size(); i += 2) {
+            const auto flags = json.at(i + 1).get<unsigned>();
+            out.push_back({ json.at(i).get<std::string>(), (flags & 1U) != 0, (flags & 2U) != 0 });
+        }
+        return out;
+    }
+
+    Json encodeDemand(const entry::ServiceDemands& demand)
+    {
+        auto out = Json::object();
+        for (const auto& [service, perSecond] : demand)
+            out[service] = static_cast<float>(perSecond);
+        return out;
+    }
+
+    entry::ServiceDemands decodeDemand(const Json& json) { return json.get<entry::ServiceDemands>(); }
+
+    Json encodeInFlight(const entry::InFlightCounts& inFlight)
+    {
+        auto out = Json::array();
+        for (const auto& [target, n] : inFlight) {
+            out.push_back(target);
+            out.push_back(n);
+        }
+        return out;
+    }
+
+    entry::InFlightCounts decodeInFlight(const Json& json)
+    {
+        entry::InFlightCounts out;
+        const auto values = json.get<std::vector<std::uint32_t>>();
+        for (std::size_t i = 0; i + 1 < values.size(); i += 2)
+            out[values[i]] = values[i + 1];
+        return out;
+    }
+
+    Json encodeAccounts(const entry::AccountUses& accounts)
+    {
+        auto out = Json::array();
+        for (const auto& [name, use] : accounts) {
+            if (use.admitted == 0 && use.demand <= 0)
+                continue;
+            out.push_back(name);
+            out.push_back(use.admitted);
+            out.push_back(static_cast<float>(use.demand));
+        }
+        return out;
+    }
+
+    entry::AccountUses decodeAccounts(const Json& json)
+    {
+        entry::AccountUses out;
+        for (std::size_t i = 0; i + 2 < json.size(); i += 3)
+            out[json.at(i).get<std::string>()] = { json.at(i + 1).get<std::uint64_t>(), json.at(i + 2).get<double>() };
+        return out;
+    }
+
+    Json encodeHeard(const std::map<std::string, entry::HeardReport>& heard)
+    {
+        auto out = Json::object();
+        for (const auto& [domain, report] : heard)
+            out[domain] = { report.incarnation, report.sequence };
+        return out;
+    }
+
+    std::map<std::string, entry::HeardReport> decodeHeard(const Json& json)
+    {
+        std::map<std::string, entry::HeardReport> out;
+        for (const auto& [domain, report] : json.items())
+            out[domain] = { report.at(0).get<Incarnation>(), report.at(1).get<std::uint64_t>() };
+        return out;
+    }
+
+    Json encodeDuration(Duration duration) { return duration / milliseconds(1); }
+
+    Duration decodeDuration(const Json& json) { return milliseconds(json.get<std::int64_t>()); }
+
+    // --- Messages ---
+
+    Json encode(const entry::Report& it)
+    {
+        return { Kind::Report, encodeProcess(it.process), it.sequence, it.ready, it.leaving,
+            encodeDuration(it.storeUpFor), encodeDemand(it.demand), encodeInFlight(it.inFlight) };
+    }
+
+    Json encode(const entry::DomainReport& it)
+    {
+        return { Kind::DomainReport, encodeProcess(it.coordinator), it.sequence, it.failureDomain, it.region,
+            encodeDuration(it.storeUpFor), encodeStatuses(it.vms), encodeAccounts(it.accounts),
+            encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeHeard(it.heard) };
+    }
+
+    Json encode(const entry::Digest& it)
+    {
+        auto demand = Json::object();
+        for (const auto& [region, services] : it.demandByRegion)
+            demand[region] = encodeDemand(services);
+        auto domains = Json::array();
+        for (const auto& domain : it.domains)
+            domains.push_back(encode(domain));
+        return { Kind::Digest, encodeProcess(it.coordinator), it.sequence, it.leaving, encodeDuration(it.storeUpFor),
+            encodeStatuses(it.vms), std::move(demand), encodeInFlight(it.inFlight), std::move(domains) };
+    }
+
+    Json encode(const entry::AdmissionAsk& it) { return { Kind::AdmissionAsk, it.vm, it.request, it.account }; }
+
+    Json encode(const entry::AdmissionAnswer& it)
+    {
+        return { Kind::AdmissionAnswer, it.request, it.admitted, encodeDuration(it.retryAfter) };
+    }
+
+    Json encode(const entry::AdmissionReturn& it) { return { Kind::AdmissionReturn, it.account }; }
+
+    entry::Report decodeReport(const Json& json)
+    {
+        return { .process = decodeProcess(json.at(1)),
+            .sequence = json.at(2).get<std::uint64_t>(),
+            .ready = json.at(3).get<bool>(),
+            .leaving = json.at(4).get<bool>(),
+            .storeUpFor = decodeDuration(json.at(5)),
+            .demand = decodeDemand(json.at(6)),
+            .inFlight = decodeInFlight(json.at(7)) };
+    }
+
+    entry::DomainReport decodeDomainReport(const Json& json)
+    {
+        return { .coordinator = decodeProcess(json.at(1)),
+            .sequence = json.at(2).get<std::uint64_t>(),
+            .failureDomain = json.at(3).get<std::string>(),
+            .region = json.at(4).get<std::string>(),
+            .storeUpFor = decodeDuration(json.at(5)),
+            .vms = decodeStatuses(json.at(6)),
+            .heard = decodeHeard(json.at(10)),
+            .accounts = decodeAccounts(json.at(7)),
+            .demand = decodeDemand(json.at(8)),
+            .inFlight = decodeInFlight(json.at(9)) };
+    }
+
+    entry::Digest decodeDigest(const Json& json)
+    {
+        entry::Digest out { .coordinator = decodeProcess(json.at(1)),
+            .sequence = json.at(2).get<std::uint64_t>(),
+            .leaving = json.at(3).get<bool>(),
+            .storeUpFor = decodeDuration(json.at(4)),
+            .vms = decodeStatuses(json.at(5)),
+            .inFlight = decodeInFlight(json.at(7)) };
+        for (const auto& [region, services] : json.at(6).items())
+            out.demandByRegion[region] = decodeDemand(services);
+        for (const auto& domain : json.at(8))
+            out.domains.push_back(decodeDomainReport(domain));
+        return out;
+    }
+
+    Result<entry::FleetMessage> decode(const Json& json)
+    {
+        switch (static_cast<Kind>(json.at(0).get<std::uint8_t>())) {
+        case Kind::Report:
+            return entry::FleetMessage { decodeReport(json) };
+        case Kind::DomainReport:
+            return entry::FleetMessage { decodeDomainReport(json) };
+        case Kind::Digest:
+            return entry::FleetMessage { decodeDigest(json) };
+        case Kind::AdmissionAsk:
+            return entry::FleetMessage { entry::AdmissionAsk {
+                json.at(1).get<std::string>(), json.at(2).get<RequestId>(), json.at(3).get<std::string>() } };
+        case Kind::AdmissionAnswer:
+            return entry::FleetMessage { entry::AdmissionAnswer {
+                json.at(1).get<RequestId>(), json.at(2).get<bool>(), decodeDuration(json.at(3)) } };
+        case Kind::AdmissionReturn:
+            return entry::FleetMessage { entry::AdmissionReturn { json.at(1).get<std::string>() } };
+        }
+        return Error { ErrorCode::Protocol, "message.decode", {}, "kind " + json.at(0).dump() + " is unknown" };
+    }
+
+} // namespace
+
+std::string encodeMessage(const entry::FleetMessage& message)
+{
+    std::string out;
+    Json::to_cbor({ protocolVersion, std::visit([](const auto& it) { return encode(it); }, message) }, out);
+    return out;
+}
+
+Result<entry::FleetMessage> decodeMessage(std::string_view bytes)
+{
+    try {
+        const auto message = Json::from_cbor(bytes.begin(), bytes.end());
+        const auto version = message.at(0).get<int>();
+        if (version != protocolVersion)
+            return Error { ErrorCode::Protocol, "message.decode", {},
+                "version must be " + std::to_string(protocolVersion) + ", found " + std::to_string(version) };
+        return decode(message.at(1));
+    } catch (const Json::exception& ec) {
+        return Error { ErrorCode::Protocol, "message.decode", {}, ec.what() };
+    }
+}
+
+namespace {
+
+    struct ToEvent {
+        entry::EntryEvent operator()(entry::Report it) const { return entry::ReportReceived { std::move(it) }; }
+        entry::EntryEvent operator()(entry::DomainReport it) const
+        {
+            return entry::DomainReportReceived { std::move(it) };
+        }
+        entry::EntryEvent operator()(entry::Digest it) const { return entry::DigestReceived { std::move(it) }; }
+        entry::EntryEvent operator()(entry::AdmissionAsk it) const { return entry::AdmissionAsked { std::move(it) }; }
+        entry::EntryEvent operator()(entry::AdmissionAnswer it) const { return entry::AdmissionAnswered { it }; }
+        entry::EntryEvent operator()(entry::AdmissionReturn it) const
+        {
+            return entry::AdmissionReturned { std::move(it) };
+        }
+    };
+
+} // namespace
+
+entry::EntryEvent toEvent(entry::FleetMessage message) { return std::visit(ToEvent {}, std::move(message)); }
+
+} // namespace arbutuscrank::node
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -31,6 +31,8 @@
     std::vector<StoreObject> objects;
     std::uint64_t revision = 0; ///< of the store, as of the read
     bool hasMore = false; ///< the rest follows after the last name
+    /// Time as of which the store has confirmed this, if another VM read it; else the time at which the call was sent.
+    std::optional<TimePoint> confirmedAt;
 };
 
 /// \brief One change that a watch reports.
@@ -43,6 +45,7 @@
 struct StoreChanges {
     std::vector<StoreChange> changes;
     std::uint64_t revision = 0; ///< to continue from
+    std::optional<TimePoint> confirmedAt; ///< as in \ref StoreListing
 };
 
 /// \brief Asynchronous calls to the store. Each handler is called once, from the event loop.
--- a/src/node/simple_server.cpp
+++ b/src/node/simple_server.cpp
@@ -15,7 +15,7 @@
 
     class Session : public std::enable_shared_from_this<Session> {
     public:
-        Session(Tcp::socket socket, std::shared_ptr<SimpleServer::Handler> handler)
+        Session(Tcp::socket socket, std::shared_ptr<SimpleServer::LaterHandler> handler)
             : m_socket(std::move(socket))
             , m_timer(m_socket.get_executor())
             , m_handler(std::move(handler))
@@ -33,18 +33,27 @@
                     self->m_socket.close(ignored); // nobody waits for an answer
             });
             http::async_read(m_socket, m_buffer, m_request, [self = shared_from_this()](SystemError ec, std::size_t) {
+                self->m_timer.cancel();
                 if (!ec)
-                    self->write();
+                    self->handle();
             });
         }
 
     private:
-        void write()
+        void handle()
         {
+            if (m_request.method() != http::verb::get) {
+                write(makeAnswer(http::status::method_not_allowed, {}, "text/plain"));
+                return;
+            }
             const std::string_view target(m_request.target().data(), m_request.target().size());
-            m_answer = m_request.method() == http::verb::get
-                ? (*m_handler)(target)
-                : makeAnswer(http::status::method_not_allowed, {}, "text/plain");
+            (*m_handler)(
+                target, [self = shared_from_this()](SimpleServer::Answer answer) { self->write(std::move(answer)); });
+        }
+
+        void write(SimpleServer::Answer answer)
+        {
+            m_answer = std::move(answer);
             m_answer.keep_alive(m_request.keep_alive());
             m_answer.prepare_payload();
             http::async_write(m_socket, m_answer, [self = shared_from_this()](SystemError ec, std::size_t) {
@@ -55,7 +64,7 @@
 
         Tcp::socket m_socket;
         asio::steady_timer m_timer;
-        std::shared_ptr<SimpleServer::Handler> m_handler;
+        std::shared_ptr<SimpleServer::LaterHandler> m_handler;
         boost::beast::flat_buffer m_buffer;
         http::request<http::string_body> m_request;
         SimpleServer::Answer m_answer;
@@ -72,8 +81,15 @@
 }
 
 SimpleServer::SimpleServer(asio::io_context& context, Handler handler)
+    : SimpleServer(context,
+        LaterHandler([handler = std::move(handler)](
+                         std::string_view target, const Reply& reply) { reply(handler(target)); }))
+{
+}
+
+SimpleServer::SimpleServer(asio::io_context& context, LaterHandler handler)
     : m_context(context)
-    , m_handler(std::make_shared<Handler>(std::move(handler)))
+    , m_handler(std::make_shared<LaterHandler>(std::move(handler)))
 {
 }
 
--- a/src/node/simple_server.hpp
+++ b/src/node/simple_server.hpp
@@ -9,7 +9,7 @@
 #include <optional>
 
 /// \file
-/// \brief HTTP server for short answers from memory: readiness, look-ups, metrics and the state dump.
+/// \brief HTTP server for answers from memory: readiness, look-ups, metrics, the state dump and the feed.
 
 namespace arbutuscrank::node {
 
@@ -22,7 +22,12 @@
     /// \brief Answers one request. \param target path and query
     using Handler = std::function<Answer(std::string_view target)>;
 
+    /// \brief Gives the answer of one request, at once or later. The request is forgotten if it is never called.
+    using Reply = std::function<void(Answer)>;
+    using LaterHandler = std::function<void(std::string_view target, Reply reply)>;
+
     SimpleServer(asio::io_context& context, Handler handler);
+    SimpleServer(asio::io_context& context, LaterHandler handler);
 
     [[nodiscard]] Result<void> open(const std::string& address);
     void close();
@@ -31,7 +36,7 @@
     void accept();
 
     asio::io_context& m_context;
-    std::shared_ptr<Handler> m_handler;
+    std::shared_ptr<LaterHandler> m_handler;
     std::optional<Tcp::acceptor> m_acceptor;
 };
 
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -35,8 +35,8 @@
             { "vm", member.record.process.vm },
             { "failureDomain", member.record.failureDomain },
             { "callerAddress", member.record.callerAddress },
-            { "ready", member.report && member.report->ready },
-            { "leaving", member.report && member.report->leaving },
+            { "ready", member.ready },
+            { "leaving", member.leaving },
         };
         if (member.heardAt)
             out["heardMsAgo"] = ageMs(*member.heardAt, now);
@@ -54,6 +54,8 @@
         { "configurationVersion", state.policy.policy().version },
         { "configurationFresh", isPolicyFresh(state, now) },
         { "storeAway", state.storeAway },
+        { "coordinator",
+            state.coordination.isCoordinator() ? state.members.self().process.vm : state.coordination.followed() },
         { "requests", state.requests.size() },
         { "evacuated", state.targets.evacuated() },
         { "targets", Json::array() },
--- a/tests/entry/entry_harness.hpp
+++ b/tests/entry/entry_harness.hpp
@@ -67,6 +67,7 @@
             { .process = { "vm1", 1 }, .region = "north", .failureDomain = "north-a", .callerAddress = "10.1.0.1:80" },
             seed)
     {
+        handle(MembersListed {});
         handle(PolicyRead { std::move(policy) });
         handle(PolicyConfirmed { now });
         handle(StoreAnswered {});
@@ -115,6 +116,18 @@
         return std::nullopt;
     }
 
+    /// The last message of a type to other VMs since the effects were cleared.
+    template <typename T> [[nodiscard]] std::optional<T> lastMessage() const
+    {
+        for (auto it = effects.rbegin(); it != effects.rend(); ++it) {
+            const auto* effect = std::get_if<SendMessage>(&*it);
+            const auto* message = effect ? std::get_if<T>(&effect->message) : nullptr;
+            if (message)
+                return *message;
+        }
+        return std::nullopt;
+    }
+
     template <typename T> [[nodiscard]] std::size_t count() const
     {
         std::size_t n = 0;
--- a/tests/entry/members_test.cpp
+++ b/tests/entry/members_test.cpp
@@ -85,7 +85,7 @@
     EXPECT_FALSE(members.applyReport({ .process = { "a2", 5 }, .sequence = 2, .ready = false }, now));
     EXPECT_FALSE(members.applyReport({ .process = { "a2", 4 }, .sequence = 9, .ready = false }, now));
     EXPECT_FALSE(members.applyReport({ .process = { "unknown", 1 }, .sequence = 1 }, now));
-    EXPECT_TRUE(members.others().at("a2").report->ready);
+    EXPECT_TRUE(members.others().at("a2").ready);
 }
 
 // Guards against a fleet that waits for ever for a VM which was removed for good.
--- a/tests/entry/quota_sharing_failure_test.cpp
+++ b/tests/entry/quota_sharing_failure_test.cpp
@@ -9,18 +9,18 @@
 
 namespace {
 
-    /// A fleet of admissions that tell each other their use, with delays, losses, cuts and restarts.
+    /// Coordinators of failure domains that tell each other their use, with delays, losses, cuts and restarts.
     class QuotaFleet {
     public:
-        QuotaFleet(int vms, double rate, double burst, std::uint64_t seed)
+        QuotaFleet(int domains, double rate, double burst, std::uint64_t seed)
             : m_random(seed)
         {
             m_policy.version = 1;
             m_policy.accounts = { { .name = "acme", .ratePerSecond = rate, .burst = burst } };
-            for (int i = 0; i < vms; ++i)
-                m_records.push_back({ .process = { "vm" + std::to_string(i), 0 }, .region = "north" });
-            for (int i = 0; i < vms; ++i)
-                m_nodes.push_back(makeNode(i));
+            for (int i = 0; i < domains; ++i)
+                m_names.push_back("domain" + std::to_string(i));
+            for (const auto& name : m_names)
+                m_nodes.push_back(makeNode(name));
         }
 
         /// Runs for a time with so many requests a second over the whole fleet.
@@ -37,11 +37,21 @@
         {
             m_inFlight.clear();
             for (std::size_t i = 0; i < m_nodes.size(); ++i)
-                m_nodes[i] = makeNode(static_cast<int>(i));
+                m_nodes[i] = makeNode(m_names[i]);
         }
 
-        /// Cuts the first VMs off from the others, or heals the cut.
-        void cut(std::size_t vms) { m_cut = vms; }
+        /// Cuts the first domains off from the others, or heals the cut.
+        void cut(std::size_t domains) { m_cut = domains; }
+
+        /// Another VM takes over each domain: it was told of the reports, and begins to admit itself.
+        void takeOver()
+        {
+            for (auto& node : m_nodes) {
+                node.incarnation = ++m_incarnations;
+                node.sequence = 0;
+                node.quota.startHolding(m_now);
+            }
+        }
 
         /// Most requests admitted in any span of a length.
         [[nodiscard]] std::size_t mostIn(Duration window) const
@@ -62,8 +72,8 @@
         static constexpr Duration step = milliseconds(5);
 
         struct Node {
-            MemberTable members;
             QuotaSharing quota;
+            DomainTable domains;
             Incarnation incarnation = 0;
             std::uint64_t sequence = 0;
             TimePoint reportedAt {};
@@ -72,15 +82,15 @@
         struct Datagram {
             TimePoint due;
             std::size_t to;
-            Report report;
+            DomainReport report;
         };
 
-        Node makeNode(int i)
+        Node makeNode(const std::string& name)
         {
-            Node node { MemberTable(m_records[static_cast<std::size_t>(i)]), QuotaSharing(Bounds {}) };
+            Node node { .quota = QuotaSharing(Bounds {}, name) };
             node.incarnation = ++m_incarnations;
-            node.members.applySnapshot(m_records, m_now);
             node.quota.setPolicy(m_policy, m_now);
+            node.quota.startHolding(m_now);
             return node;
         }
 
@@ -96,22 +106,37 @@
             }
             if (m_now - node.tickedAt >= milliseconds(200)) {
                 node.tickedAt = m_now;
-                node.quota.updateShares(node.members, m_now);
+                std::set<std::string> others(m_names.begin(), m_names.end());
+                others.erase(m_names[i]);
+                node.quota.updateShares(others, m_now);
             }
-            const auto interval = node.quota.wantsReport() ? milliseconds(60)
+            const auto interval = node.quota.wantsReport() ? milliseconds(50)
                 : node.quota.isPressed()                   ? milliseconds(200)
-                                                           : milliseconds(500);
+                                                           : milliseconds(300);
             if (m_now - node.reportedAt >= interval)
                 report(i);
         }
 
+        std::map<std::string, HeardReport> heardReports(const Node& node) const
+        {
+            std::map<std::string, HeardReport> out;
+            for (const auto& [name, entry] : node.domains.all()) {
+                if (DomainTable::isHeard(entry, m_now))
+                    out[name] = { entry.report.coordinator.incarnation, entry.report.sequence };
+            }
+            return out;
+        }
+
         void report(std::size_t i)
         {
             auto& node = m_nodes[i];
             node.reportedAt = m_now;
-            const Report report { .process = { m_records[i].process.vm, node.incarnation },
+            const DomainReport report { .coordinator = { "vm-of-" + m_names[i], node.incarnation },
                 .sequence = ++node.sequence,
+                .failureDomain = m_names[i],
+                .heard = heardReports(node),
                 .accounts = node.quota.takeUse(m_now) };
+            node.quota.noteSent({ node.incarnation, report.sequence }, m_now);
             for (std::size_t to = 0; to < m_nodes.size(); ++to) {
                 const bool isCut = (i < m_cut) != (to < m_cut);
                 if (to != i && !isCut && m_random.unit() > 0.02)
@@ -126,15 +151,15 @@
                 if (it.due > m_now)
                     return false;
                 auto& node = m_nodes[it.to];
-                if (node.members.applyReport(it.report, m_now))
-                    node.quota.applyReport(node.members.others().at(it.report.process.vm), m_now);
+                if (node.domains.apply(it.report, m_now))
+                    node.quota.applyReport(it.report, m_now);
                 return true;
             });
         }
 
         Random m_random;
         TrafficPolicy m_policy;
-        std::vector<MemberRecord> m_records;
+        std::vector<std::string> m_names;
         std::vector<Node> m_nodes;
         std::deque<Datagram> m_inFlight;
         std::vector<TimePoint> m_admitted;
@@ -153,18 +178,18 @@
 
 } // namespace
 
-// Guards against an account that exceeds its rate and burst over all VMs: when its demand jumps, when VMs cannot hear
-// each other, and when all processes are killed and start again.
+// Guards against an account that exceeds its rate and burst over all VMs: when its demand jumps, when coordinators cannot
+// hear each other or are replaced, and when all processes are killed and start again.
 RC_GTEST_PROP(QuotaSharingFleet, KeepsToTheQuotaUnderFailures, ())
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-    const auto vms = *rc::gen::inRange(2, 24);
+    const auto domains = *rc::gen::inRange(2, 24);
     const double rate = *rc::gen::inRange(10, 200);
     const double burst = rate;
-    QuotaFleet fleet(vms, rate, burst, seed);
+    QuotaFleet fleet(domains, rate, burst, seed);
     fleet.run(seconds(4), rate * 0.6);
     for (int i = 0; i < 4; ++i) {
-        switch (*rc::gen::inRange(0, 3)) {
+        switch (*rc::gen::inRange(0, 4)) {
         case 0:
             fleet.run(seconds(4), rate * 8);
             break;
@@ -172,8 +197,12 @@
             fleet.killAll();
             fleet.run(seconds(3), rate * 4);
             break;
+        case 2:
+            fleet.takeOver();
+            fleet.run(seconds(3), rate * 4);
+            break;
         default:
-            fleet.cut(static_cast<std::size_t>(vms) / 3);
+            fleet.cut(static_cast<std::size_t>(domains) / 3);
             fleet.run(seconds(4), rate * 3);
             fleet.cut(0);
             break;
--- a/tests/entry/requests_failure_test.cpp
+++ b/tests/entry/requests_failure_test.cpp
@@ -128,8 +128,8 @@
 {
     entry.now += seconds(3) + milliseconds(100); // 0.6 of the bound
     entry.handle(Tick {});
-    ASSERT_TRUE(entry.last<SendReport>());
-    EXPECT_FALSE(entry.last<SendReport>()->report.ready);
+    ASSERT_TRUE(entry.lastMessage<DomainReport>());
+    EXPECT_FALSE(entry.lastMessage<DomainReport>()->vms.front().ready);
 }
 
 // Guards against a retry storm: repeats stay below their share of the requests.
@@ -172,8 +172,8 @@
 {
     entry.effects.clear();
     entry.handle(StopRequested {});
-    ASSERT_TRUE(entry.last<SendReport>());
-    EXPECT_TRUE(entry.last<SendReport>()->report.leaving);
+    ASSERT_TRUE(entry.lastMessage<DomainReport>());
+    EXPECT_TRUE(entry.lastMessage<DomainReport>()->vms.front().leaving);
     EXPECT_FALSE(isReady(entry.state));
 }
 
