Answer a feed's watch once; start coordinators with the list of VMs

A watch of the feed whose wait ended in the same round of the event loop in which it was answered was answered again through a dangling iterator.

Change: waiting watches are found by number. The coordinator is chosen as soon as the list of VMs is read, and its followers turn to it with its first digest instead of the next tick.

Test: SharedReads.AWatchIsAnsweredOnceWhenItsWaitEndsAsTheStoreIsLost (ended the test process before the change); MessageCodec; SharedReads.

--- a/src/entry/coordination.cpp
+++ b/src/entry/coordination.cpp
@@ -14,6 +14,8 @@
     constexpr Duration waitPerRank = milliseconds(250);
     /// Ranks beyond this one wait no longer: many VMs may be gone at once.
     constexpr std::size_t longestWaitRanks = 4;
+    /// A VM that starts with an empty list of VMs waits for the registrations of those that start with it.
+    constexpr Duration registrationTime = milliseconds(500);
     /// Time for which a lower VM may go on as coordinator beside this one: it stops as soon as it hears this one. Then
     /// how long this VM follows it before it speaks again.
     constexpr Duration longestContest = milliseconds(250);
@@ -109,7 +111,8 @@
     }
     const auto silentSince = std::max(*m_startedAt, m_higherHeardAt);
     const auto ranksToWait = static_cast<Duration::rep>(std::min(above, longestWaitRanks));
-    const auto wait = above == 0 ? Duration::zero() : coordinatorSilence + (ranksToWait - 1) * waitPerRank;
+    const auto firstWait = ranks.empty() && members.others().empty() ? registrationTime : Duration::zero();
+    const auto wait = above == 0 ? firstWait : coordinatorSilence + (ranksToWait - 1) * waitPerRank;
     m_isCoordinator = now - silentSince >= wait;
     if (m_isCoordinator)
         m_followed.clear();
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -321,24 +321,24 @@
         }
     }
 
-    void updateCoordination(EntryState& state, TimePoint now, Effects& out)
-    {
-        if (!state.membersListed)
-            return; // the ranks are not known
-        const auto before = state.coordination.followed();
-        const bool became = state.coordination.update(state.members, now);
-        if (became) {
-            state.quota.startHolding(now);
-            reportAsCoordinator(state, now, true, out);
-        }
-        if (became || state.coordination.followed() != before)
-            out.push_back(WriteLog { LogEvent::CoordinatorChanged,
-                fmt::format("failure_domain={} coordinator={} previous={}", state.settings.failureDomain,
-                    became ? state.members.self().process.vm : state.coordination.followed(), before) });
-    }
-
 } // namespace
 
+void updateCoordination(EntryState& state, TimePoint now, Effects& out)
+{
+    if (!state.membersListed)
+        return; // the ranks are not known
+    const auto before = state.coordination.followed();
+    const bool became = state.coordination.update(state.members, now);
+    if (became) {
+        state.quota.startHolding(now);
+        reportAsCoordinator(state, now, true, out);
+    }
+    if (became || state.coordination.followed() != before)
+        out.push_back(WriteLog { LogEvent::CoordinatorChanged,
+            fmt::format("failure_domain={} coordinator={} previous={}", state.settings.failureDomain,
+                became ? state.members.self().process.vm : state.coordination.followed(), before) });
+}
+
 Duration storeUpElsewhere(const EntryState& state, TimePoint now)
 {
     if (!state.coordination.isCoordinator()) {
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -105,11 +105,12 @@
         LogEvent::EvacuationApplied, fmt::format("failure_domains=\"{}\"", fmt::join(event.failureDomains, ",")) });
 }
 
-void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects&)
+void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects& out)
 {
     state.members.applySnapshot(event.records, now);
     state.membersListed = true;
     state.retries.setFleetSize(state.members.fleetSize());
+    updateCoordination(state, now, out);
 }
 
 void apply(EntryState& state, const MemberChanged& event, TimePoint now, Effects& out)
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -36,6 +36,9 @@
 void apply(EntryState& state, const Tick& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StopRequested& event, TimePoint now, Effects& out);
 
+/// \brief Decides anew who coordinates the failure domain.
+void updateCoordination(EntryState& state, TimePoint now, Effects& out);
+
 /// \brief Tells the fleet what this VM knows, at once: its coordinator, or the other coordinators and its domain.
 void sendReports(EntryState& state, TimePoint now, Effects& out);
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -198,10 +198,12 @@
 void EntryNode::messageReceived(std::string_view bytes)
 {
     auto message = decodeMessage(bytes);
-    if (message)
-        dispatch(toEvent(std::move(message.value())));
-    else
+    if (!message) {
         log(LogEvent::PeerProtocolError, describe(message.error()));
+        return;
+    }
+    dispatch(toEvent(std::move(message.value())));
+    chooseStoreSource(); // a digest may have changed the coordinator
 }
 
 // --- Store -----------------------------------------------------------------------------------------------------------
@@ -356,6 +358,8 @@
         }
         dispatch(entry::MembersListed { std::move(records) });
         registerSelf(self);
+        if (!m_readersStarted)
+            chooseStoreSource();
         return;
     }
     }
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -252,27 +252,38 @@
         return;
     }
     const auto wait = milliseconds(queryNumber(query, "waitMs"));
-    m_waiters.push_back({ collection, queryNumber(query, "watch"), currentTime(), std::move(reply),
-        asio::steady_timer(m_context, wait) });
-    const auto waiter = std::prev(m_waiters.end());
-    if (m_caches.at(collection).revision() > waiter->revision) {
-        const auto changes = m_caches.at(collection).changesAfter(waiter->revision);
-        if (!changes || !changes.value().changes.empty()) {
-            answer(waiter);
-            return;
-        }
+    const auto id = ++m_lastWaiter;
+    auto& waiter = m_waiters
+                       .emplace(id,
+                           Waiter { collection, queryNumber(query, "watch"), currentTime(), std::move(reply),
+                               asio::steady_timer(m_context, wait) })
+                       .first->second;
+    if (hasNews(waiter)) {
+        answer(id);
+        return;
     }
-    waiter->timer.async_wait([this, waiter](SystemError ec) {
+    // The wait may end in the same round of the event loop in which the waiter is answered.
+    waiter.timer.async_wait([this, id](SystemError ec) {
         if (!ec)
-            answer(waiter);
+            answer(id);
     });
 }
 
-void SharedStore::answer(Waiters::iterator waiter)
+bool SharedStore::hasNews(const Waiter& waiter) const
+{
+    const auto& cache = m_caches.at(waiter.collection);
+    if (cache.revision() <= waiter.revision)
+        return false;
+    const auto changes = cache.changesAfter(waiter.revision);
+    return !changes || !changes.value().changes.empty();
+}
+
+void SharedStore::answer(WaiterId id)
 {
-    const auto reply = std::move(waiter->reply);
-    const auto [collection, revision, since] = std::tuple(waiter->collection, waiter->revision, waiter->since);
-    m_waiters.erase(waiter);
+    const auto node = m_waiters.extract(id);
+    if (node.empty())
+        return; // answered already
+    const auto& [collection, revision, since, reply, timer] = node.mapped();
     if (!isServing(collection)) {
         reply(makeAnswer(http::status::service_unavailable, {}, "text/plain"));
         return;
@@ -286,29 +297,21 @@
 
 void SharedStore::wake(Collection collection)
 {
-    const auto& cache = m_caches.at(collection);
-    for (auto it = m_waiters.begin(); it != m_waiters.end();) {
-        const auto waiter = it++;
-        if (waiter->collection != collection)
-            continue;
+    std::vector<WaiterId> due;
+    for (const auto& [id, waiter] : m_waiters) {
         // Each confirmation of the policy is passed on: it keeps requests with keys going.
-        if (collection == Collection::Policy) {
-            answer(waiter);
-            continue;
-        }
-        if (cache.revision() <= waiter->revision)
-            continue;
-        const auto changes = cache.changesAfter(waiter->revision);
-        if (!changes || !changes.value().changes.empty())
-            answer(waiter);
+        if (waiter.collection == collection && (collection == Collection::Policy || hasNews(waiter)))
+            due.push_back(id);
     }
+    for (const auto id : due)
+        answer(id);
 }
 
 void SharedStore::storeFailed()
 {
     m_confirmedAt.reset();
-    for (auto it = m_waiters.begin(); it != m_waiters.end();)
-        answer(it++);
+    while (!m_waiters.empty())
+        answer(m_waiters.begin()->first);
 }
 
 } // namespace arbutuscrank::node
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -4,7 +4,6 @@
 #include "node/http_channel.hpp"
 #include "node/simple_server.hpp"
 
-#include <list>
 #include <map>
 #include <memory>
 
@@ -52,7 +51,7 @@
         SimpleServer::Reply reply;
         asio::steady_timer timer;
     };
-    using Waiters = std::list<Waiter>;
+    using WaiterId = std::uint64_t;
 
     [[nodiscard]] HttpChannel& channel(Collection collection);
     void confirm(Collection collection, TimePoint sentAt);
@@ -60,8 +59,9 @@
 
     // Server
     void serve(std::string_view target, SimpleServer::Reply reply);
-    void answer(Waiters::iterator waiter);
+    void answer(WaiterId id);
     void wake(Collection collection);
+    [[nodiscard]] bool hasNews(const Waiter& waiter) const;
 
     asio::io_context& m_context;
     std::shared_ptr<ObjectStore> m_platform;
@@ -70,7 +70,8 @@
     std::map<Collection, std::shared_ptr<HttpChannel>> m_channels; ///< to the source
     std::map<Collection, FeedCache> m_caches;
     std::optional<TimePoint> m_confirmedAt; ///< send time of the last answered read of the policy
-    Waiters m_waiters;
+    std::map<WaiterId, Waiter> m_waiters;
+    WaiterId m_lastWaiter = 0;
     std::uint64_t m_platformCalls = 0;
 };
 
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -188,14 +188,14 @@
 
     void expireAdmissions()
     {
-        for (const auto& [key, at] : std::exchange(m_admissions, {})) {
-            const auto it = m_entries.find(key.first);
+        for (const auto& [asker, at] : std::exchange(m_admissions, {})) {
+            const auto it = m_entries.find(asker.first);
             if (it == m_entries.end())
                 continue;
             if (at > now)
-                m_admissions.emplace(key, at);
+                m_admissions.emplace(asker, at);
             else
-                handle(it->second, AdmissionDue { key.second });
+                handle(it->second, AdmissionDue { asker.second });
         }
     }
 
--- a/tests/node/loopback.hpp
+++ b/tests/node/loopback.hpp
@@ -16,6 +16,14 @@
 
 namespace arbutuscrank::node::test {
 
+/// \brief "ip:port" on loopback that nothing listens on.
+inline std::string freeAddress()
+{
+    asio::io_context context;
+    const Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
 /// \brief Accepts connections one after the other and hands each, with its number, to a script on a thread of its own.
 class ScriptedServer {
 public:
--- /dev/null
+++ b/tests/node/message_codec_test.cpp
@@ -0,0 +1,81 @@
+#include "node/message_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace arbutuscrank::node::test {
+
+namespace {
+
+    using namespace arbutuscrank::entry;
+
+    template <typename T> T roundTrip(const T& message)
+    {
+        const auto decoded = decodeMessage(encodeMessage(message));
+        EXPECT_TRUE(decoded);
+        return std::get<T>(decoded.value());
+    }
+
+} // namespace
+
+TEST(MessageCodec, KeepsADomainReport)
+{
+    const DomainReport report { .coordinator = { "vm1", 77 },
+        .sequence = 5,
+        .failureDomain = "north-a",
+        .region = "north",
+        .storeUpFor = std::chrono::milliseconds(1500),
+        .vms = { { "vm1", true, false }, { "vm2", false, true } },
+        .heard = { { "south-a", { 9, 12 } } },
+        .accounts = { { "acme", { 40, 2.5 } } },
+        .demand = { { "cart", 8.0 } },
+        .inFlight = { { 123456, 3 } } };
+    const auto it = roundTrip(report);
+    EXPECT_EQ(it.coordinator, report.coordinator);
+    EXPECT_EQ(it.sequence, 5U);
+    EXPECT_EQ(it.failureDomain, "north-a");
+    EXPECT_EQ(it.storeUpFor, report.storeUpFor);
+    EXPECT_EQ(it.vms, report.vms);
+    EXPECT_EQ(it.heard.at("south-a").sequence, 12U);
+    EXPECT_EQ(it.accounts.at("acme").admitted, 40U);
+    EXPECT_EQ(it.demand, report.demand);
+    EXPECT_EQ(it.inFlight, report.inFlight);
+}
+
+TEST(MessageCodec, KeepsADigestWithTheAccountsOfDomains)
+{
+    Digest digest { .coordinator = { "vm1", 77 }, .sequence = 5, .leaving = true };
+    digest.demandByRegion["north"]["cart"] = 8;
+    digest.domains.push_back({ .failureDomain = "south-a", .accounts = { { "acme", { 40, 2.5 } } } });
+    const auto it = roundTrip(digest);
+    EXPECT_TRUE(it.leaving);
+    EXPECT_EQ(it.demandByRegion, digest.demandByRegion);
+    ASSERT_EQ(it.domains.size(), 1U);
+    EXPECT_EQ(it.domains.front().accounts.at("acme").admitted, 40U);
+}
+
+TEST(MessageCodec, KeepsReportsAndAdmissions)
+{
+    const Report report { .process = { "vm1", 7 }, .sequence = 2, .ready = true, .inFlight = { { 1, 2 } } };
+    EXPECT_EQ(roundTrip(report).inFlight, report.inFlight);
+    EXPECT_EQ(roundTrip(AdmissionAsk { "vm1", 9, "acme" }).account, "acme");
+    const auto answer = roundTrip(AdmissionAnswer { 9, false, std::chrono::milliseconds(120) });
+    EXPECT_EQ(answer.retryAfter, std::chrono::milliseconds(120));
+    EXPECT_EQ(roundTrip(AdmissionReturn { "acme" }).account, "acme");
+}
+
+// Guards against a datagram that ends the process or changes what it believes: cut short, of another version or kind.
+TEST(MessageCodec, RefusesUnreadableDatagrams)
+{
+    const auto whole = encodeMessage(Report { .process = { "vm1", 7 } });
+    for (std::size_t n = 0; n < whole.size(); ++n)
+        EXPECT_FALSE(decodeMessage(std::string_view(whole).substr(0, n))) << n;
+    std::string other;
+    nlohmann::json::to_cbor({ 1, { 0 } }, other);
+    EXPECT_FALSE(decodeMessage(other));
+    other.clear();
+    nlohmann::json::to_cbor({ 2, { 99 } }, other);
+    EXPECT_FALSE(decodeMessage(other));
+}
+
+} // namespace arbutuscrank::node::test
--- /dev/null
+++ b/tests/node/shared_store_failure_test.cpp
@@ -0,0 +1,184 @@
+#include "node/shared_store.hpp"
+
+#include "node/clock.hpp"
+#include "node/loopback.hpp"
+
+#include <gtest/gtest.h>
+
+namespace arbutuscrank::node::test {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// A store in memory. A watch is answered when the test says so.
+    class MemoryStore : public ObjectStore {
+    public:
+        void list(Collection, const std::string&, Handler<StoreListing> done) override
+        {
+            ++calls;
+            if (away)
+                done(Error { ErrorCode::Unavailable, "store.call", {}, "status 503" });
+            else
+                done(StoreListing { .objects = objects, .revision = revision });
+        }
+        void watch(Collection, std::uint64_t, Duration, Handler<StoreChanges> done) override
+        {
+            ++calls;
+            pending = std::move(done);
+        }
+        void abandonReads(Collection) override { }
+        void write(Collection, const StoreObject&, Handler<ObjectVersion> done) override { done(ObjectVersion { 1 }); }
+        void remove(Collection, const std::string&, ObjectVersion, Handler<ObjectVersion> done) override
+        {
+            done(ObjectVersion { 0 });
+        }
+
+        std::vector<StoreObject> objects { { "main", 5, "{}" } };
+        std::uint64_t revision = 10;
+        Handler<StoreChanges> pending;
+        bool away = false;
+        int calls = 0;
+    };
+
+    /// A VM that reads the store itself, and one that reads through it.
+    struct SharedReads : testing::Test {
+        SharedReads()
+        {
+            EXPECT_TRUE(coordinator->open(address));
+            follower->setSource(address);
+        }
+
+        void readAsCoordinator()
+        {
+            coordinator->list(Collection::Policy, {}, [](const auto&) { });
+            coordinator->watch(Collection::Policy, 10, milliseconds(1000), [](const auto&) { });
+        }
+
+        template <typename T> Result<T> finish(std::optional<Result<T>>& result)
+        {
+            const auto end = currentTime() + std::chrono::seconds(5);
+            while (!result && currentTime() < end)
+                context.run_one_for(milliseconds(20));
+            return result ? *result : Error { ErrorCode::Timeout, "test", {}, "no answer" };
+        }
+
+        Result<StoreListing> list()
+        {
+            std::optional<Result<StoreListing>> result;
+            follower->list(Collection::Policy, {}, [&](auto answer) { result = std::move(answer); });
+            return finish(result);
+        }
+
+        asio::io_context context;
+        std::string address = freeAddress();
+        std::shared_ptr<MemoryStore> store = std::make_shared<MemoryStore>();
+        std::shared_ptr<MemoryStore> unused = std::make_shared<MemoryStore>();
+        std::shared_ptr<SharedStore> coordinator = std::make_shared<SharedStore>(context, store);
+        std::shared_ptr<SharedStore> follower = std::make_shared<SharedStore>(context, unused);
+    };
+
+} // namespace
+
+// Guards against store calls that grow with the fleet.
+TEST_F(SharedReads, AFollowerReadsWithoutCallsToTheStore)
+{
+    readAsCoordinator();
+    const auto listing = list();
+    ASSERT_TRUE(listing);
+    ASSERT_EQ(listing.value().objects.size(), 1U);
+    EXPECT_EQ(listing.value().objects.front().name, "main");
+    EXPECT_EQ(unused->calls, 0);
+}
+
+// Guards against evidence that is taken for newer than the coordinator's own: a withdrawn key would be served too long.
+TEST_F(SharedReads, EvidenceIsNotNewerThanTheCoordinators)
+{
+    readAsCoordinator();
+    const auto confirmedBefore = currentTime();
+    context.run_for(milliseconds(150));
+    const auto listing = list();
+    ASSERT_TRUE(listing);
+    ASSERT_TRUE(listing.value().confirmedAt);
+    EXPECT_LE(*listing.value().confirmedAt, confirmedBefore);
+    EXPECT_GT(*listing.value().confirmedAt, confirmedBefore - std::chrono::seconds(1));
+}
+
+// Guards against changes and confirmations that reach the coordinator and not those behind it.
+TEST_F(SharedReads, AWatchBehindTheCoordinatorHearsOfAChangeAtOnce)
+{
+    readAsCoordinator();
+    std::optional<Result<StoreChanges>> result;
+    follower->watch(Collection::Policy, 10, milliseconds(1000), [&](auto answer) { result = std::move(answer); });
+    context.run_for(milliseconds(100));
+    EXPECT_FALSE(result);
+    store->pending(StoreChanges { .changes = { { { "main", 12, "{\"version\":2}" }, false }, { { "old", 11, "" }, true } },
+        .revision = 12 });
+    const auto changes = finish(result);
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes.value().revision, 12U);
+    ASSERT_EQ(changes.value().changes.size(), 2U);
+    EXPECT_TRUE(changes.value().changes.front().deleted);
+    EXPECT_EQ(changes.value().changes.back().object.body, "{\"version\":2}");
+}
+
+// Guards against VMs that go on with old state because their coordinator no longer reaches the store.
+TEST_F(SharedReads, AWatchFailsAtOnceWhenTheCoordinatorLosesTheStore)
+{
+    readAsCoordinator();
+    std::optional<Result<StoreChanges>> result;
+    follower->watch(Collection::Policy, 10, milliseconds(1000), [&](auto answer) { result = std::move(answer); });
+    context.run_for(milliseconds(100));
+    const auto before = currentTime();
+    coordinator->storeFailed();
+    const auto changes = finish(result);
+    ASSERT_FALSE(changes);
+    EXPECT_EQ(changes.error().code, ErrorCode::Unavailable);
+    EXPECT_LT(currentTime() - before, milliseconds(500));
+    EXPECT_FALSE(list());
+}
+
+// Guards against a watch that is answered twice: its wait is over at the moment at which the store is lost. The process
+// ended with a segmentation fault on cacen-pool-grown trouble-1.
+TEST_F(SharedReads, AWatchIsAnsweredOnceWhenItsWaitEndsAsTheStoreIsLost)
+{
+    readAsCoordinator();
+    int answers = 0;
+    for (const auto collection : { Collection::Policy, Collection::Targets })
+        coordinator->list(collection, {}, [](const auto&) { });
+    follower->watch(Collection::Policy, 10, milliseconds(200), [&](const auto&) { ++answers; });
+    follower->watch(Collection::Targets, 10, milliseconds(200), [&](const auto&) { ++answers; });
+    context.run_for(milliseconds(100));
+    asio::steady_timer loss(context, milliseconds(50));
+    loss.async_wait([&](SystemError) { coordinator->storeFailed(); });
+    std::this_thread::sleep_for(milliseconds(300)); // all three timers are due in one round of the event loop
+    context.run_for(milliseconds(200));
+    EXPECT_EQ(answers, 2);
+}
+
+// Guards against a reader that misses removals of before the coordinator's first read.
+TEST_F(SharedReads, AReaderThatLagsTooFarHasToListAnew)
+{
+    readAsCoordinator();
+    std::optional<Result<StoreChanges>> result;
+    follower->watch(Collection::Policy, 3, milliseconds(1000), [&](auto answer) { result = std::move(answer); });
+    const auto changes = finish(result);
+    ASSERT_FALSE(changes);
+    EXPECT_EQ(changes.error().code, ErrorCode::NotFound);
+}
+
+// Guards against chains: a VM that reads from another one's feed must not serve it on.
+TEST_F(SharedReads, AFollowerServesNothing)
+{
+    const auto other = freeAddress();
+    readAsCoordinator();
+    ASSERT_TRUE(list());
+    ASSERT_TRUE(follower->open(other));
+    SharedStore third(context, unused);
+    third.setSource(other);
+    std::optional<Result<StoreListing>> result;
+    third.list(Collection::Policy, {}, [&](auto answer) { result = std::move(answer); });
+    EXPECT_FALSE(finish(result));
+}
+
+} // namespace arbutuscrank::node::test
