Keep a request until its write has ended

A call that is given up while its request is being written took the request with it; the write looked at it once more before it ended. Starting coordinators give up calls at once when they turn to the store. Found by AddressSanitizer with the new test (use after free in the serializer of the request).

Change: writes and reads hold their request and parser.

Test: HttpChannelFailure.AbandonWhileARequestIsBeingSent fails under AddressSanitizer before the change.

--- a/include/arbutuscrank/entry/coordination.hpp
+++ b/include/arbutuscrank/entry/coordination.hpp
@@ -40,7 +40,8 @@
 /// The VMs of a failure domain are ranked by capacity, then by name. A VM follows the first of those above it that it
 /// hears as coordinator; it coordinates itself when it has heard none of them for a while. Lower ranks wait longer, so
 /// that one VM takes over. A coordinator that goes on hearing a lower one speak is not heard itself, and one that no
-/// longer hears the reports of its failure domain is deaf: both are silent for a while and let a lower one take over. Two coordinators at a time are possible for a moment; admissions are counted for each of them.
+/// longer hears the reports of its failure domain is deaf: both are silent for a while and let a lower one take over.
+/// Two coordinators at a time are possible for a moment; admissions are counted for each of them.
 class Coordination {
 public:
     explicit Coordination(MemberRecord self)
@@ -77,7 +78,8 @@
     MemberRecord m_self;
     std::map<VmId, Voice> m_voices;
     std::optional<TimePoint> m_startedAt;
-    std::optional<TimePoint> m_contestedSince; ///< since when a VM of a lower rank speaks as coordinator beside this one
+    std::optional<TimePoint>
+        m_contestedSince; ///< since when a VM of a lower rank speaks as coordinator beside this one
     std::optional<TimePoint> m_yieldsUntil; ///< until when lower ranks are followed
     TimePoint m_higherHeardAt {}; ///< when a VM of a higher rank was last heard as coordinator
     VmId m_followed;
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -157,9 +157,9 @@
 /// \brief The process was told to stop.
 struct StopRequested { };
 
-using EntryEvent = std::variant<RequestArrived, CallerLeft, AttemptAnswered, AttemptFailed, RequestExpired, AdmissionDue,
-    HedgeDue, PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved, EvacuationsChanged, MembersListed,
-    MemberChanged, MemberRemoved, StoreFailed, StoreAnswered, ReportReceived, DomainReportReceived, DigestReceived,
-    AdmissionAsked, AdmissionAnswered, AdmissionReturned, Tick, StopRequested>;
+using EntryEvent = std::variant<RequestArrived, CallerLeft, AttemptAnswered, AttemptFailed, RequestExpired,
+    AdmissionDue, HedgeDue, PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved,
+    EvacuationsChanged, MembersListed, MemberChanged, MemberRemoved, StoreFailed, StoreAnswered, ReportReceived,
+    DomainReportReceived, DigestReceived, AdmissionAsked, AdmissionAnswered, AdmissionReturned, Tick, StopRequested>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -10,9 +10,9 @@
 /// \file
 /// \brief Datagrams between the entry VMs.
 ///
-/// Each failure domain has one coordinator. The other VMs of the domain report to it, coordinators report to each other,
-/// and each tells its domain what it knows of the fleet. The messages between two VMs therefore do not grow with the
-/// square of the fleet. Each message carries whole counters, so that a lost one is made good by the next.
+/// Each failure domain has one coordinator. The other VMs of the domain report to it, coordinators report to each
+/// other, and each tells its domain what it knows of the fleet. The messages between two VMs therefore do not grow with
+/// the square of the fleet. Each message carries whole counters, so that a lost one is made good by the next.
 
 namespace arbutuscrank::entry {
 
--- a/include/arbutuscrank/entry/quota_sharing.hpp
+++ b/include/arbutuscrank/entry/quota_sharing.hpp
@@ -21,9 +21,9 @@
 /// \brief Admission to the accounts' quotas by the coordinator of one failure domain.
 ///
 /// Each coordinator knows from the others' reports how much they have admitted. A request takes a token of the domain's
-/// share, which follows the domain's part of the demand, or, while all domains are heard, of the fleet's bucket. Between
-/// two reports a coordinator takes no more than its domain's part of that bucket. A silent domain keeps the share that
-/// it had. VMs that do not coordinate follow the reports that they are told of, so that they can take over.
+/// share, which follows the domain's part of the demand, or, while all domains are heard, of the fleet's bucket.
+/// Between two reports a coordinator takes no more than its domain's part of that bucket. A silent domain keeps the
+/// share that it had. VMs that do not coordinate follow the reports that they are told of, so that they can take over.
 class QuotaSharing {
 public:
     QuotaSharing(const Bounds& bounds, std::string failureDomain)
@@ -41,8 +41,8 @@
     /// \brief A report with this VM's counters was sent to the other coordinators.
     void noteSent(const HeardReport& report, TimePoint now);
 
-    /// \brief This VM begins to admit for its failure domain: nothing of the domain's share is left over, and nothing is
-    /// admitted before another domain has heard of it, if any other domain is heard.
+    /// \brief This VM begins to admit for its failure domain: nothing of the domain's share is left over, and nothing
+    /// is admitted before another domain has heard of it, if any other domain is heard.
     void startHolding(TimePoint now);
 
     /// \brief Recomputes the shares. Called a few times a second.
@@ -100,14 +100,15 @@
     };
 
     void refill(Account& account, TimePoint now) const;
-    void setShare(Account& account, std::span<const std::string> heard, std::span<const std::string> silent,
-        TimePoint now) const;
+    void setShare(
+        Account& account, std::span<const std::string> heard, std::span<const std::string> silent, TimePoint now) const;
     /// Whether a request may be admitted beyond this domain's share. Within the time of an exchange a coordinator draws
     /// no more than its part of the fleet's bucket, so that the sum over all of them keeps to the bucket and the
     /// tolerance.
     [[nodiscard]] bool mayHold(TimePoint now) const; ///< whether this VM may admit anything as coordinator
     [[nodiscard]] bool mayDraw(const Account& account, TimePoint now) const;
-    /// Silence of any domain after which nothing is drawn: shorter while the bucket is low, since reports come faster then.
+    /// Silence of any domain after which nothing is drawn: shorter while the bucket is low, since reports come faster
+    /// then.
     [[nodiscard]] static Duration drawSilenceLimit(const Account& account);
     [[nodiscard]] double tolerance(const Account& account) const; ///< tokens that may be spent beyond the bucket
 
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -13,7 +13,8 @@
 
     using std::chrono::milliseconds;
 
-    /// Interval of reports between coordinators. VMs report to theirs with each tick. Other failure domains are told over links that are paid for.
+    /// Interval of reports between coordinators. VMs report to theirs with each tick. Other failure domains are told
+    /// over links that are paid for.
     constexpr Duration domainReportInterval = milliseconds(300);
     /// Interval while some account has used up half of its burst, so that shares follow the demand.
     constexpr Duration pressedDomainReportInterval = milliseconds(200);
@@ -242,9 +243,8 @@
         std::map<std::string, ServiceDemands> byRegion;
         if (state.coordination.isCoordinator()) {
             addTo(byRegion[state.settings.region], ownDemand(state));
-            forHeardVms(state, now, [&](const Member& member) {
-                addTo(byRegion[state.settings.region], member.report->demand);
-            });
+            forHeardVms(state, now,
+                [&](const Member& member) { addTo(byRegion[state.settings.region], member.report->demand); });
             for (const auto& [name, domain] : state.domains.all()) {
                 if (DomainTable::isHeard(domain, now))
                     addTo(byRegion[domain.report.region], domain.report.demand);
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -211,8 +211,8 @@
 void EntryNode::makeReaders()
 {
     // A watch of the policy that answers in time is the evidence that no key was withdrawn: its wait is a part of the
-    // bound on withdrawals, twice over, since the coordinator's evidence is passed on. The other collections only need a connection that is known to live, which the policy's
-    // reader shows: when it fails, all are read anew.
+    // bound on withdrawals, twice over, since the coordinator's evidence is passed on. The other collections only need
+    // a connection that is known to live, which the policy's reader shows: when it fails, all are read anew.
     const Duration policyWait = m_state.settings.bounds.withdrawal / 5;
     constexpr Duration longWait = std::chrono::seconds(25);
     // Changes that come together, as at a start or a release, are read with one call. The pause is a small part of the
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -21,7 +21,7 @@
 
 void HttpChannel::call(Request request, Duration timeout, Handler done)
 {
-    m_calls.push_back({ std::move(request), timeout, std::move(done) });
+    m_calls.push_back({ std::make_shared<Request>(std::move(request)), timeout, std::move(done) });
     if (!m_busy)
         startNext();
 }
@@ -60,10 +60,12 @@
 
 void HttpChannel::send()
 {
-    m_parser.emplace();
+    m_parser = std::make_shared<Parser>();
     m_parser->body_limit(maxAnswerBytes);
-    http::async_write(m_socket, m_calls.front().request,
-        [self = shared_from_this(), generation = m_generation](SystemError ec, std::size_t) {
+    // A write that is given up still looks at its request before it ends.
+    const auto request = m_calls.front().request;
+    http::async_write(m_socket, *request,
+        [self = shared_from_this(), request, generation = m_generation](SystemError ec, std::size_t) {
             if (generation != self->m_generation)
                 return;
             if (ec)
@@ -76,16 +78,16 @@
 void HttpChannel::receive()
 {
     http::async_read(m_socket, m_buffer, *m_parser,
-        [self = shared_from_this(), generation = m_generation](SystemError ec, std::size_t) {
+        [self = shared_from_this(), parser = m_parser, generation = m_generation](SystemError ec, std::size_t) {
             if (generation != self->m_generation)
                 return;
             if (ec) {
                 self->fail(ErrorCode::Unknown, "store.answer", ec.message());
                 return;
             }
-            if (!self->m_parser->keep_alive() || self->m_buffer.size() != 0)
+            if (!parser->keep_alive() || self->m_buffer.size() != 0)
                 self->close();
-            self->finish(self->m_parser->release());
+            self->finish(parser->release());
         });
 }
 
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -9,7 +9,6 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 /// \file
@@ -41,8 +40,9 @@
     void abandon();
 
 private:
+    using Parser = http::response_parser<http::string_body>;
     struct Call {
-        Request request;
+        std::shared_ptr<Request> request;
         Duration timeout;
         Handler done;
     };
@@ -64,7 +64,7 @@
     bool m_connected = false;
     std::uint64_t m_generation = 0; ///< changes when a call ends, so that late completions are ignored
     boost::beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::shared_ptr<Parser> m_parser;
 };
 
 } // namespace arbutuscrank::node
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -125,8 +125,8 @@
     Json encode(const entry::DomainReport& it)
     {
         return { Kind::DomainReport, encodeProcess(it.coordinator), it.sequence, it.failureDomain, it.region,
-            encodeDuration(it.storeUpFor), encodeStatuses(it.vms), encodeAccounts(it.accounts),
-            encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeHeard(it.heard) };
+            encodeDuration(it.storeUpFor), encodeStatuses(it.vms), encodeAccounts(it.accounts), encodeDemand(it.demand),
+            encodeInFlight(it.inFlight), encodeHeard(it.heard) };
     }
 
     Json encode(const entry::Digest& it)
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -22,8 +22,8 @@
     constexpr Duration listTimeout = milliseconds(500);
     /// Time that the answer of a watch may come after the end of its wait.
     constexpr Duration watchSlack = milliseconds(450);
-    /// Age up to which a coordinator's read of the policy is passed on. A watch of a second confirms the policy as of its
-    /// beginning, so that the age lies between one and two seconds and the time to the store.
+    /// Age up to which a coordinator's read of the policy is passed on. A watch of a second confirms the policy as of
+    /// its beginning, so that the age lies between one and two seconds and the time to the store.
     constexpr Duration freshFor = milliseconds(2600);
     constexpr auto collections
         = std::array { Collection::Policy, Collection::Targets, Collection::Evacuations, Collection::Members };
@@ -42,9 +42,10 @@
         auto objects = Json::array();
         for (const auto& object : listing.objects)
             objects.push_back(encodeObject(object));
-        return Json { { "revision", listing.revision }, { "objects", std::move(objects) },
-            { "confirmedAfterUs", confirmedAfterCall.count() } }
-            .dump();
+        return Json {
+            { "revision", listing.revision }, { "objects", std::move(objects) },
+            { "confirmedAfterUs", confirmedAfterCall.count() }
+        }.dump();
     }
 
     std::string encode(const StoreChanges& changes, Duration confirmedAfterCall)
@@ -57,9 +58,10 @@
             else
                 objects.push_back(encodeObject(change.object));
         }
-        return Json { { "revision", changes.revision }, { "objects", std::move(objects) },
-            { "removed", std::move(removed) }, { "confirmedAfterUs", confirmedAfterCall.count() } }
-            .dump();
+        return Json {
+            { "revision", changes.revision }, { "objects", std::move(objects) }, { "removed", std::move(removed) },
+            { "confirmedAfterUs", confirmedAfterCall.count() }
+        }.dump();
     }
 
     StoreListing decodeListing(const Json& json, TimePoint sentAt)
@@ -184,8 +186,8 @@
             std::string(feedPath) + std::string(toString(collection)) + "?watch=" + std::to_string(revision)
                 + "&waitMs=" + std::to_string(wait / milliseconds(1)),
             11);
-        channel(collection).call(
-            std::move(request), wait + watchSlack, decodeWith(std::move(done), m_source, decodeChanges));
+        channel(collection)
+            .call(std::move(request), wait + watchSlack, decodeWith(std::move(done), m_source, decodeChanges));
         return;
     }
     ++m_platformCalls;
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -13,11 +13,12 @@
 
 namespace arbutuscrank::node {
 
-/// \brief Reads through the coordinator if there is one, else from the platform's store; writes to the platform's store.
+/// \brief Reads through the coordinator if there is one, else from the platform's store; writes to the platform's
+/// store.
 ///
 /// What is read from the platform's store is kept and served to other VMs, together with the time as of which the store
-/// has confirmed the policy. Readers of the feed thus know the age of what they have, and nobody serves what it has from
-/// another VM.
+/// has confirmed the policy. Readers of the feed thus know the age of what they have, and nobody serves what it has
+/// from another VM.
 class SharedStore : public ObjectStore {
 public:
     SharedStore(asio::io_context& context, std::shared_ptr<ObjectStore> platform);
--- a/src/node/simple_server.cpp
+++ b/src/node/simple_server.cpp
@@ -81,9 +81,9 @@
 }
 
 SimpleServer::SimpleServer(asio::io_context& context, Handler handler)
-    : SimpleServer(context,
-        LaterHandler([handler = std::move(handler)](
-                         std::string_view target, const Reply& reply) { reply(handler(target)); }))
+    : SimpleServer(context, LaterHandler([handler = std::move(handler)](std::string_view target, const Reply& reply) {
+        reply(handler(target));
+    }))
 {
 }
 
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -8,7 +8,8 @@
 #include <utility>
 
 /// \file
-/// \brief Several entries that exchange their datagrams through a network with delays, losses and cuts, in logical time.
+/// \brief Several entries that exchange their datagrams through a network with delays, losses and cuts, in logical
+/// time.
 
 namespace arbutuscrank::entry::test {
 
--- a/tests/entry/quota_sharing_failure_test.cpp
+++ b/tests/entry/quota_sharing_failure_test.cpp
@@ -178,8 +178,8 @@
 
 } // namespace
 
-// Guards against an account that exceeds its rate and burst over all VMs: when its demand jumps, when coordinators cannot
-// hear each other or are replaced, and when all processes are killed and start again.
+// Guards against an account that exceeds its rate and burst over all VMs: when its demand jumps, when coordinators
+// cannot hear each other or are replaced, and when all processes are killed and start again.
 RC_GTEST_PROP(QuotaSharingFleet, KeepsToTheQuotaUnderFailures, ())
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
--- a/tests/node/http_channel_failure_test.cpp
+++ b/tests/node/http_channel_failure_test.cpp
@@ -1,6 +1,8 @@
 #include "node/http_channel.hpp"
 #include "node/loopback.hpp"
 
+#include <boost/asio/executor_work_guard.hpp>
+
 #include <gtest/gtest.h>
 
 namespace arbutuscrank::node::test {
@@ -59,4 +61,28 @@
     EXPECT_EQ(code, ErrorCode::Timeout);
 }
 
+// Guards against a call that is given up while its request is being sent: the write went on with the request of a call
+// that was gone (segmentation faults of starting coordinators on cacen-pool-grown).
+TEST(HttpChannelFailure, AbandonWhileARequestIsBeingSent)
+{
+    const ScriptedServer server([](Tcp::socket& socket, int) { readRequest(socket); });
+    asio::io_context context;
+    const auto channel = std::make_shared<HttpChannel>(context, server.endpoint(), server.address());
+    const auto work = asio::make_work_guard(context);
+    int ended = 0;
+    for (int steps = 0; steps < 40; ++steps) {
+        HttpChannel::Request request(http::verb::put, "/", 11);
+        request.body() = std::string(64U << 10U, 'x');
+        request.prepare_payload();
+        channel->call(std::move(request), std::chrono::seconds(5), [&](const auto&) { ++ended; });
+        for (int i = 0; i < steps % 8; ++i)
+            context.run_one_for(std::chrono::milliseconds(1));
+        channel->abandon();
+        const std::string overwritten(64U << 10U, 'y'); // takes the place of what was freed too early
+        context.run_for(std::chrono::milliseconds(2));
+        EXPECT_EQ(overwritten.size(), 64U << 10U);
+    }
+    EXPECT_EQ(ended, 40);
+}
+
 } // namespace arbutuscrank::node::test
--- a/tests/node/shared_store_failure_test.cpp
+++ b/tests/node/shared_store_failure_test.cpp
@@ -51,8 +51,8 @@
 
         void readAsCoordinator()
         {
-            coordinator->list(Collection::Policy, {}, [](const auto&) { });
-            coordinator->watch(Collection::Policy, 10, milliseconds(1000), [](const auto&) { });
+            coordinator->list(Collection::Policy, {}, [](const auto&) {});
+            coordinator->watch(Collection::Policy, 10, milliseconds(1000), [](const auto&) {});
         }
 
         template <typename T> Result<T> finish(std::optional<Result<T>>& result)
@@ -112,8 +112,8 @@
     follower->watch(Collection::Policy, 10, milliseconds(1000), [&](auto answer) { result = std::move(answer); });
     context.run_for(milliseconds(100));
     EXPECT_FALSE(result);
-    store->pending(StoreChanges { .changes = { { { "main", 12, "{\"version\":2}" }, false }, { { "old", 11, "" }, true } },
-        .revision = 12 });
+    store->pending(StoreChanges {
+        .changes = { { { "main", 12, "{\"version\":2}" }, false }, { { "old", 11, "" }, true } }, .revision = 12 });
     const auto changes = finish(result);
     ASSERT_TRUE(changes);
     EXPECT_EQ(changes.value().revision, 12U);
@@ -145,7 +145,7 @@
     readAsCoordinator();
     int answers = 0;
     for (const auto collection : { Collection::Policy, Collection::Targets })
-        coordinator->list(collection, {}, [](const auto&) { });
+        coordinator->list(collection, {}, [](const auto&) {});
     follower->watch(Collection::Policy, 10, milliseconds(200), [&](const auto&) { ++answers; });
     follower->watch(Collection::Targets, 10, milliseconds(200), [&](const auto&) { ++answers; });
     context.run_for(milliseconds(100));
