--- a/src/entry/coordination.cpp
+++ b/src/entry/coordination.cpp
@@ -132,6 +132,7 @@
         return a->capacity != b->capacity ? a->capacity > b->capacity : a->process.vm < b->process.vm;
     });
     std::vector<VmId> out;
+    out.reserve(records.size());
     for (const auto* record : records)
         out.push_back(record->process.vm);
     return out;
--- a/tests/entry/quota_sharing_failure_test.cpp
+++ b/tests/entry/quota_sharing_failure_test.cpp
@@ -117,7 +117,7 @@
                 report(i);
         }
 
-        std::map<std::string, HeardReport> heardReports(const Node& node) const
+        [[nodiscard]] std::map<std::string, HeardReport> heardReports(const Node& node) const
         {
             std::map<std::string, HeardReport> out;
             for (const auto& [name, entry] : node.domains.all()) {
