Count what a failure domain drew before a silence

After a silence of more than 1.3 s the counters of a failure domain were taken over without counting what it had admitted, which lost what it drew from the fleet's bucket before it missed the others.

Change: what exceeds the part that the domain kept in its silence is taken from the bucket.

--- a/include/arbutuscrank/entry/quota_sharing.hpp
+++ b/include/arbutuscrank/entry/quota_sharing.hpp
@@ -100,6 +100,9 @@
     };
 
     void refill(Account& account, TimePoint now) const;
+    /// Requests that a domain could admit in a long silence from the part that it kept. The fleet's bucket was not
+    /// filled with that part meanwhile.
+    [[nodiscard]] double spentUnheard(const Account& account, const std::string& domain, Duration silence) const;
     void setShare(
         Account& account, std::span<const std::string> heard, std::span<const std::string> silent, TimePoint now) const;
     /// Whether a request may be admitted beyond this domain's share. Within the time of an exchange a coordinator draws
--- a/src/entry/quota_sharing.cpp
+++ b/src/entry/quota_sharing.cpp
@@ -73,8 +73,7 @@
 void QuotaSharing::applyReport(const DomainReport& report, TimePoint now)
 {
     auto& hearing = m_heard[report.failureDomain];
-    // After a long silence the counters do not tell when the requests came.
-    const bool continued = now - hearing.at < reportLimit;
+    const auto silence = now - hearing.at;
     hearing.at = now;
     if (const auto it = report.heard.find(m_ownDomain); it != report.heard.end()) {
         const auto sent = std::ranges::find_if(m_sent, [&](const auto& item) {
@@ -94,9 +93,10 @@
         const bool known = counter.incarnation == report.coordinator.incarnation;
         const auto before = known ? counter.admitted : 0;
         // The first report that is heard of a process says nothing of when its requests came.
-        if (continued && use.admitted >= before && counter.incarnation != 0) {
+        if (use.admitted >= before && counter.incarnation != 0) {
             refill(account, now);
-            account.fleetLevel -= static_cast<double>(use.admitted - before);
+            const auto spent = static_cast<double>(use.admitted - before);
+            account.fleetLevel -= std::max(0.0, spent - spentUnheard(account, report.failureDomain, silence));
         }
         counter = { report.coordinator.incarnation, use.admitted };
         if (report.failureDomain == m_ownDomain)
@@ -106,6 +106,15 @@
     }
 }
 
+double QuotaSharing::spentUnheard(const Account& account, const std::string& domain, Duration silence) const
+{
+    if (silence < reportLimit)
+        return 0;
+    const auto it = account.domains.find(domain);
+    const double part = it == account.domains.end() ? 1 : it->second.part;
+    return part * account.rate * seconds(silence);
+}
+
 void QuotaSharing::noteSent(const HeardReport& report, TimePoint now)
 {
     m_sent.emplace_back(report, now);
