Send nothing for a caller that has closed its connection

A VM with 0.07 cores was 1.5 s behind: the close of the caller's connection had arrived and its event had not been handled when the request was sent to its target.

Change: before an attempt is sent the caller's socket is looked at; a close that has arrived ends the request.

Test: Sessions.SeesACloseThatTheEventLoopHasNotComeTo.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -1,6 +1,8 @@
 #include "node/caller_session.hpp"
 
 #include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace arbutuscrank::node {
 
@@ -192,6 +194,15 @@
     });
 }
 
+bool CallerSession::hasCallerClosed()
+{
+    if (m_closed || !m_socket.is_open())
+        return true;
+    char next = 0;
+    const auto n = ::recv(m_socket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void CallerSession::closeIfIdle()
 {
     if (isIdle())
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -47,6 +47,10 @@
     /// \brief Closes the connection if no request is waiting on it.
     void closeIfIdle();
 
+    /// \brief Whether the caller has closed the connection, also if the event loop has not come to it yet. Bytes of
+    /// further requests before the close hide it.
+    [[nodiscard]] bool hasCallerClosed();
+
     [[nodiscard]] bool isIdle() const noexcept { return m_pending.empty() && !m_writing; }
 
 private:
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -494,6 +494,12 @@
     const auto it = m_callers.find(effect.request);
     if (it == m_callers.end())
         return;
+    // A busy VM learns of a close late: nothing is sent for a caller that has left.
+    if (const auto session = it->second.session.lock(); !session || session->hasCallerClosed()) {
+        m_callers.erase(it);
+        dispatch(entry::CallerLeft { effect.request });
+        return;
+    }
     m_targets.send(
         effect, *it->second.request, [this, request = effect.request, attempt = effect.attempt](AttemptResult result) {
             attemptEnded(request, attempt, std::move(result));
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -86,6 +86,18 @@
     EXPECT_TRUE(runUntil(context, [&] { return left.size() == 2; }));
 }
 
+// Guards against requests that a busy VM sends to a target after their caller has left (cacen-pool-grown trouble-1).
+TEST_F(Sessions, SeesACloseThatTheEventLoopHasNotComeTo)
+{
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return arrived.size() == 1; }));
+    EXPECT_FALSE(current->hasCallerClosed());
+    caller.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20)); // the event loop does not run
+    EXPECT_TRUE(current->hasCallerClosed());
+    EXPECT_TRUE(left.empty());
+}
+
 // Guards against a stop that cuts a request, and against callers that stay on a stopping VM.
 TEST_F(Sessions, StopAnswersAndThenCloses)
 {
