Measure the delay of the event loop and show the revision of each drain

Change: metrics arbutuscrank_event_loop_delay_seconds and _max_seconds, event 107 (event-loop-delayed) from 250 ms, arbutuscrank_collection_age_seconds, and cause and store revision in event 504 (target-draining). No decision changes.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -18,6 +18,7 @@
     SettingsRefused = 104,
     SettingsReloaded = 105,
     LogLinesDropped = 106,
+    EventLoopDelayed = 107,
     // 2xx: configuration
     ConfigurationApplied = 200,
     ConfigurationRefused = 201,
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -107,6 +107,7 @@
 /// \brief A target was removed from the store.
 struct TargetRemoved {
     std::string id;
+    ObjectVersion revision = 0; ///< the store's revision of the removal; 0 if unknown
 };
 
 /// \brief The set of evacuated failure domains changed. Their targets receive no requests.
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -28,6 +28,7 @@
     bool draining = false;
     Duration coldRemaining {}; ///< time for which the target is still cold, from the time of the read
     std::uint64_t startedAtMs = 0; ///< start time as Unix time in milliseconds; 0 if unknown
+    ObjectVersion revision = 0; ///< the store's revision of this state of the entry; 0 if unknown
 };
 
 /// \brief Load that a target reports with an answer.
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -19,6 +19,8 @@
         return "settings-reloaded";
     case LogEvent::LogLinesDropped:
         return "log-lines-dropped";
+    case LogEvent::EventLoopDelayed:
+        return "event-loop-delayed";
     case LogEvent::ConfigurationApplied:
         return "configuration-applied";
     case LogEvent::ConfigurationRefused:
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -21,9 +21,10 @@
     }
 
     /// Logs that a target drains or was removed, and closes its idle connections.
-    void stopUsingTarget(std::string_view target, Effects& out)
+    void stopUsingTarget(std::string_view target, std::string_view cause, ObjectVersion revision, Effects& out)
     {
-        out.push_back(WriteLog { LogEvent::TargetDraining, fmt::format("target={}", target) });
+        out.push_back(WriteLog {
+            LogEvent::TargetDraining, fmt::format("target={} cause={} revision={}", target, cause, revision) });
         out.push_back(CloseIdleConnections { std::string(target) });
     }
 
@@ -73,22 +74,24 @@
 
 void apply(EntryState& state, const TargetsListed& event, TimePoint now, Effects& out)
 {
-    for (const auto& id : state.targets.applySnapshot(event.records, now))
-        stopUsingTarget(id, out);
+    for (const auto& id : state.targets.applySnapshot(event.records, now)) {
+        const auto* target = state.targets.find(id);
+        stopUsingTarget(id, target ? "draining" : "removed", target ? target->record.revision : 0, out);
+    }
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
 }
 
 void apply(EntryState& state, const TargetChanged& event, TimePoint now, Effects& out)
 {
     if (state.targets.applyRecord(event.record, now))
-        stopUsingTarget(event.record.id, out);
+        stopUsingTarget(event.record.id, "draining", event.record.revision, out);
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
 }
 
 void apply(EntryState& state, const TargetRemoved& event, TimePoint now, Effects& out)
 {
     if (state.targets.applyRemoval(event.id, now))
-        stopUsingTarget(event.id, out);
+        stopUsingTarget(event.id, "removed", event.revision, out);
 }
 
 void apply(EntryState& state, const EvacuationsChanged& event, TimePoint now, Effects& out)
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -29,6 +29,8 @@
     constexpr Duration directReadTime = std::chrono::seconds(4);
     /// Time for which a starting VM retries an unreachable feed, because its coordinator may be starting too.
     constexpr Duration coordinatorStartTimeout = milliseconds(1500);
+    /// Delay of the event loop from which it is logged.
+    constexpr Duration loggedLoopDelay = milliseconds(250);
     /// Delay before a failed accept is retried, so that a shortage of file descriptors does not cause a busy loop.
     constexpr Duration acceptRetryDelay = milliseconds(50);
 
@@ -262,6 +264,7 @@
         .onChanged = [this, collection](const StoreChange& change) { applyChange(collection, change); },
         .onConfirmed =
             [this, collection](TimePoint sentAt) {
+                m_readConfirmedAt[collection] = sentAt;
                 dispatch(entry::StoreAnswered {});
                 if (collection == Collection::Policy && m_state.policy.policy().version != 0)
                     dispatch(entry::PolicyConfirmed { sentAt });
@@ -381,7 +384,7 @@
         return;
     case Collection::Targets:
         if (change.isDeleted)
-            dispatch(entry::TargetRemoved { object.name });
+            dispatch(entry::TargetRemoved { object.name, object.revision });
         else
             for (auto& record : decodeTargets({ object }))
                 dispatch(entry::TargetChanged { std::move(record) });
@@ -428,6 +431,14 @@
     });
 }
 
+void EntryNode::recordLoopDelay()
+{
+    const auto delay = std::chrono::steady_clock::now() - m_tickTimer.expiry();
+    m_metrics.recordLoopDelay(std::chrono::duration<double>(delay).count());
+    if (delay >= loggedLoopDelay)
+        log(LogEvent::EventLoopDelayed, fmt::format("delay_ms={}", delay / milliseconds(1)));
+}
+
 void EntryNode::tick()
 {
     dispatch(entry::Tick {});
@@ -437,8 +448,10 @@
         continueStop();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](SystemError ec) {
-        if (!ec)
-            tick();
+        if (ec)
+            return;
+        recordLoopDelay();
+        tick();
     });
 }
 
@@ -647,6 +660,10 @@
     if (m_state.policyConfirmedAt)
         addMetric("gauge", "configuration_age_seconds",
             std::chrono::duration<double>(now - *m_state.policyConfirmedAt).count());
+    text += "# TYPE arbutuscrank_collection_age_seconds gauge\n";
+    for (const auto& [collection, confirmedAt] : m_readConfirmedAt)
+        text += fmt::format("arbutuscrank_collection_age_seconds{{collection=\"{}\"}} {}\n", toString(collection),
+            std::chrono::duration<double>(now - confirmedAt).count());
     addMetric("gauge", "requests_in_flight", m_state.requests.size());
     addMetric("gauge", "targets_known", m_state.targets.all().size());
     addMetric("gauge", "members_known", m_state.members.fleetSize());
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -70,6 +70,7 @@
     /// Writes this VM's registration unless \p registered, the one in the store (null if there is none), equals it.
     void registerSelf(const StoreObject* registered);
     void tick();
+    void recordLoopDelay();
     void continueStop();
 
     // Queues events for the reducer and performs its effects.
@@ -124,6 +125,7 @@
     bool m_hasStoppedListening = false;
     RequestId m_lastRequestId = 0;
     std::uint64_t m_failedStoreCalls = 0;
+    std::map<Collection, TimePoint> m_readConfirmedAt; ///< time as of which the newest read is confirmed
 };
 
 } // namespace arbutuscrank::node
--- a/src/telemetry/log_levels.cpp
+++ b/src/telemetry/log_levels.cpp
@@ -27,6 +27,7 @@
     case LogEvent::SettingsRefused:
     case LogEvent::ConfigurationRefused:
         return spdlog::level::err;
+    case LogEvent::EventLoopDelayed:
     case LogEvent::ConfigurationStale:
     case LogEvent::MemberSuspected:
     case LogEvent::MemberGone:
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -94,6 +94,13 @@
     m_drainDurations.record(seconds);
 }
 
+void Metrics::recordLoopDelay(double seconds)
+{
+    const std::lock_guard lock(m_mutex);
+    m_loopDelays.record(seconds);
+    m_maxLoopDelaySeconds = std::max(m_maxLoopDelaySeconds, seconds);
+}
+
 std::string Metrics::toText() const
 {
     const std::lock_guard lock(m_mutex);
@@ -119,6 +126,12 @@
     }
     text += "# TYPE arbutuscrank_drain_seconds summary\n";
     appendSummary(text, "arbutuscrank_drain_seconds", "kind=\"target\"", m_drainDurations);
+    if (m_loopDelays.count() != 0) {
+        text += "# TYPE arbutuscrank_event_loop_delay_seconds summary\n";
+        appendSummary(text, "arbutuscrank_event_loop_delay_seconds", "timer=\"tick\"", m_loopDelays);
+        text += "# TYPE arbutuscrank_event_loop_delay_max_seconds gauge\n";
+        text += "arbutuscrank_event_loop_delay_max_seconds " + formatNumber(m_maxLoopDelaySeconds) + "\n";
+    }
     return text;
 }
 
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -59,6 +59,9 @@
     /// \brief Records the duration of the drain of a target.
     void recordDrain(double seconds);
 
+    /// \brief Records how late the event loop ran a periodic timer.
+    void recordLoopDelay(double seconds);
+
     /// \brief All metrics in the Prometheus text exposition format.
     [[nodiscard]] std::string toText() const;
 
@@ -74,6 +77,8 @@
     mutable std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, Series> m_series; ///< by account and service
     LatencyHistogram m_drainDurations;
+    LatencyHistogram m_loopDelays;
+    double m_maxLoopDelaySeconds = 0;
     std::atomic<std::uint64_t> m_lookups { 0 };
 };
 
