Bound the cost of a changed target

Callers saw requests at draining targets, time-outs that came 1.5 s late and failed look-ups whenever many targets changed at once. Cause: each change of a target computed this VM's share of the rate of every cold target anew, and for each of them copied and sorted all VMs of the region with two hashes a comparison. 110 cold targets and 40 VMs a region keep a VM of 0.07 cores busy for seconds, and the notice of a drain waits behind them. Change: a change computes the share of its own target only. The VMs that share a cold target are chosen once for each target, by counting the VMs that rank before this one, and again only after the VMs of a region have changed.

--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,10 +45,7 @@
     /// Maximum age of a VM's report up to which its coordinator includes the VM in its own messages.
     static constexpr Duration relayMaxAge = std::chrono::milliseconds(900);
 
-    explicit MemberTable(MemberRecord self)
-        : m_self(std::move(self))
-    {
-    }
+    explicit MemberTable(MemberRecord self);
 
     [[nodiscard]] const MemberRecord& self() const noexcept { return m_self; }
 
@@ -76,12 +74,22 @@
     [[nodiscard]] const std::map<VmId, Member>& others() const noexcept { return m_members; }
     /// \brief Number of registered VMs, including this one.
     [[nodiscard]] std::size_t fleetSize() const noexcept { return m_members.size() + 1; }
-    /// \brief Registered VMs of a region in ascending order, including this one.
-    [[nodiscard]] std::vector<VmId> vmsOfRegion(std::string_view region) const;
+    /// \brief Hash of a VM's name, for rendezvous hashing.
+    [[nodiscard]] static std::uint64_t hashOf(const VmId& vm) noexcept;
+    /// \brief Hashes of the registered VMs of a region, including this one, in no particular order.
+    [[nodiscard]] std::span<const std::uint64_t> vmHashesOfRegion(std::string_view region) const;
+    /// \brief Changes whenever the VMs of a region change; never 0.
+    [[nodiscard]] std::uint64_t regionsVersion() const noexcept { return m_regionsVersion; }
 
 private:
+    /// \returns whether a VM was added or moved to another region
+    bool storeRecord(const MemberRecord& record, TimePoint now);
+    void updateRegions();
+
     MemberRecord m_self;
     std::map<VmId, Member> m_members;
+    std::map<std::string, std::vector<std::uint64_t>, std::less<>> m_vmHashesByRegion;
+    std::uint64_t m_regionsVersion = 0;
 };
 
 /// \brief Answer to a look-up of VM addresses.
--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -73,9 +73,13 @@
     void updateSplits(
         const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand, TimePoint now);
 
-    /// \brief Sets this VM's part of the request rate of each cold target.
+    /// \brief Sets this VM's part of the request rate of each cold target. Which VMs share it is computed only for
+    /// targets that are new and after the VMs of a region have changed.
     void updateColdShares(TargetTable& targets, const PolicyIndex& policy, const MemberTable& members, TimePoint now);
 
+    /// \brief Sets this VM's part of the request rate of one target, if it is cold.
+    void updateColdShare(Target& target, const PolicyIndex& policy, const MemberTable& members, TimePoint now);
+
     [[nodiscard]] const std::map<std::string, RegionSplit>& splits() const noexcept { return m_splits; }
 
 private:
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -43,6 +43,13 @@
 
 [[nodiscard]] std::string_view toString(Ejection ejection) noexcept;
 
+/// \brief The VMs that share the request rate of a cold target.
+struct ColdSenders {
+    std::uint64_t regionsVersion = 0; ///< \ref MemberTable::regionsVersion of the choice; 0 if not chosen yet
+    std::size_t count = 1;
+    bool includesSelf = false;
+};
+
 /// \brief State of a target.
 struct Target {
     TargetRecord record;
@@ -52,6 +59,7 @@
     std::optional<TimePoint> loadReportedAt; ///< arrival of that load report
     std::uint32_t othersInFlight = 0; ///< in-flight attempts of other VMs as last reported by them
     std::optional<TimePoint> coldUntil;
+    ColdSenders coldSenders;
     TokenBucket coldBucket; ///< this VM's part of the request rate that the target allows while cold
     double failureShare = 0; ///< moving average of failures over finished attempts, 0 to 1
     double slowness = 1; ///< moving average of the duration divided by the route's typical duration
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -1,6 +1,9 @@
 #include <arbutuscrank/entry/members.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <set>
 
 namespace arbutuscrank::entry {
 
@@ -29,25 +32,58 @@
 
 } // namespace
 
-void MemberTable::applyRecord(const MemberRecord& record, TimePoint now)
+MemberTable::MemberTable(MemberRecord self)
+    : m_self(std::move(self))
+{
+    updateRegions();
+}
+
+bool MemberTable::storeRecord(const MemberRecord& record, TimePoint now)
 {
     if (record.process.vm == m_self.process.vm)
-        return;
+        return false;
     auto& member = m_members[record.process.vm];
-    if (member.record.process.vm.empty())
+    const bool isNew = member.record.process.vm.empty();
+    const bool changesRegions = isNew || member.record.region != record.region;
+    if (isNew)
         member.registrationReadAt = now;
     member.record = record;
+    return changesRegions;
 }
 
-void MemberTable::applyRemoval(std::string_view vm) { m_members.erase(std::string(vm)); }
+void MemberTable::updateRegions()
+{
+    m_vmHashesByRegion.clear();
+    m_vmHashesByRegion[m_self.region].push_back(hashOf(m_self.process.vm));
+    for (const auto& [vm, member] : m_members)
+        m_vmHashesByRegion[member.record.region].push_back(hashOf(vm));
+    ++m_regionsVersion;
+}
+
+void MemberTable::applyRecord(const MemberRecord& record, TimePoint now)
+{
+    if (storeRecord(record, now))
+        updateRegions();
+}
+
+void MemberTable::applyRemoval(std::string_view vm)
+{
+    if (m_members.erase(std::string(vm)) != 0)
+        updateRegions();
+}
 
 void MemberTable::applySnapshot(const std::vector<MemberRecord>& records, TimePoint now)
 {
-    std::erase_if(m_members, [&](const auto& item) {
-        return std::ranges::none_of(records, [&](const auto& record) { return record.process.vm == item.first; });
-    });
+    std::set<std::string_view> listed;
     for (const auto& record : records)
-        applyRecord(record, now);
+        listed.insert(record.process.vm);
+    bool changesRegions = std::erase_if(m_members, [&](const auto& item) { return !listed.contains(item.first); }) != 0;
+    for (const auto& record : records) {
+        if (storeRecord(record, now))
+            changesRegions = true;
+    }
+    if (changesRegions)
+        updateRegions();
 }
 
 bool MemberTable::applyReport(const VmReport& report, TimePoint now)
@@ -99,17 +135,12 @@
     return member.lastSeenAt && now - *member.lastSeenAt < maxAge;
 }
 
-std::vector<VmId> MemberTable::vmsOfRegion(std::string_view region) const
+std::uint64_t MemberTable::hashOf(const VmId& vm) noexcept { return XXH64(vm.data(), vm.size(), 0); }
+
+std::span<const std::uint64_t> MemberTable::vmHashesOfRegion(std::string_view region) const
 {
-    std::vector<VmId> vms;
-    if (m_self.region == region)
-        vms.push_back(m_self.process.vm);
-    for (const auto& [vm, member] : m_members) {
-        if (member.record.region == region)
-            vms.push_back(vm);
-    }
-    std::ranges::sort(vms);
-    return vms;
+    const auto it = m_vmHashesByRegion.find(region);
+    return it == m_vmHashesByRegion.end() ? std::span<const std::uint64_t>() : it->second;
 }
 
 LookupAnswer answerLookup(const MemberTable& members, std::string_view region, std::string_view failureDomain,
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -85,7 +85,8 @@
 {
     if (state.targets.applyRecord(event.record, now))
         stopUsingTarget(event.record.id, "draining", event.record.revision, out);
-    state.selection.updateColdShares(state.targets, state.policy, state.members, now);
+    if (auto* target = state.targets.find(event.record.id))
+        state.selection.updateColdShare(*target, state.policy, state.members, now);
 }
 
 void apply(EntryState& state, const TargetRemoved& event, TimePoint now, Effects& out)
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -33,7 +33,7 @@
     constexpr std::uint64_t localityHashSeed = 2;
     /// Number of VMs that send to a cold target. Its rate of a few requests per second is too small to be shared by all
     /// VMs.
-    constexpr std::size_t coldSenders = 2;
+    constexpr std::size_t maxColdSenders = 2;
     /// Burst of requests that a VM may send to a cold target.
     constexpr double coldBurstRequests = 2;
 
@@ -85,6 +85,22 @@
             / std::log(toUnitInterval(mixHashes(target.hash, affinityHash)));
     }
 
+    /// The first VMs of the target's region in rendezvous order, or this VM if the region has none.
+    ColdSenders chooseColdSenders(const Target& target, const MemberTable& members)
+    {
+        const auto vmHashes = members.vmHashesOfRegion(target.record.region);
+        ColdSenders out { .regionsVersion = members.regionsVersion(),
+            .count = std::clamp<std::size_t>(vmHashes.size(), 1, maxColdSenders),
+            .includesSelf = vmHashes.empty() };
+        if (members.self().region != target.record.region)
+            return out;
+        const auto own = mixHashes(target.hash, MemberTable::hashOf(members.self().process.vm));
+        const auto precedingVmCount = std::ranges::count_if(
+            vmHashes, [&](std::uint64_t vmHash) { return mixHashes(target.hash, vmHash) > own; });
+        out.includesSelf = static_cast<std::size_t>(precedingVmCount) < maxColdSenders;
+        return out;
+    }
+
     bool hasColdToken(Target& target, TimePoint now)
     {
         return !target.isCold(now) || target.coldBucket.level(now) >= oneToken;
@@ -259,30 +275,25 @@
     return fractions;
 }
 
+void TargetSelection::updateColdShare(
+    Target& target, const PolicyIndex& policy, const MemberTable& members, TimePoint now)
+{
+    if (!target.isCold(now))
+        return;
+    if (target.coldSenders.regionsVersion != members.regionsVersion())
+        target.coldSenders = chooseColdSenders(target, members);
+    const auto* service = policy.findService(target.record.service);
+    const auto& senders = target.coldSenders;
+    const double rate = service && senders.includesSelf ? service->coldRate / static_cast<double>(senders.count) : 0;
+    const auto tokens = [](double n) { return static_cast<MicroTokens>(n * static_cast<double>(oneToken)); };
+    target.coldBucket.setShare(tokens(rate), tokens(senders.includesSelf ? coldBurstRequests : 0), now);
+}
+
 void TargetSelection::updateColdShares(
     TargetTable& targets, const PolicyIndex& policy, const MemberTable& members, TimePoint now)
 {
-    for (auto& item : targets.all()) {
-        auto& target = item.second;
-        if (!target.isCold(now))
-            continue;
-        const auto* service = policy.findService(target.record.service);
-        const double rate = service ? service->coldRate : 0;
-        auto vms = members.vmsOfRegion(target.record.region);
-        if (vms.empty())
-            vms = { members.self().process.vm };
-        std::ranges::sort(vms, [&](const auto& a, const auto& b) {
-            return mixHashes(target.hash, XXH64(a.data(), a.size(), 0))
-                > mixHashes(target.hash, XXH64(b.data(), b.size(), 0));
-        });
-        const auto senders = std::min(coldSenders, vms.size());
-        const bool sends
-            = std::find(vms.begin(), vms.begin() + static_cast<std::ptrdiff_t>(senders), members.self().process.vm)
-            != vms.begin() + static_cast<std::ptrdiff_t>(senders);
-        const double fraction = sends ? 1.0 / static_cast<double>(senders) : 0;
-        const auto tokens = [](double n) { return static_cast<MicroTokens>(n * static_cast<double>(oneToken)); };
-        target.coldBucket.setShare(tokens(rate * fraction), tokens(sends ? coldBurstRequests : 0), now);
-    }
+    for (auto& [id, target] : targets.all())
+        updateColdShare(target, policy, members, now);
 }
 
 } // namespace arbutuscrank::entry
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -47,6 +47,8 @@
         target.loadReportedAt.reset();
         target.coldUntil.reset();
     }
+    if (target.record.region != record.region)
+        target.coldSenders = {};
     target.record = record;
     target.hash = XXH64(record.id.data(), record.id.size(), 0);
     target.isAwaitingRemoval = false;
