Show that an answer cut off in its head is a failure

Cause: it was not known whether an answer that stops in its head can reach a caller as a whole 200. Change: a test that cuts the head of an answer with a length and of one in chunks after each byte. Result: each cut is reported as a failure with unknown outcome, also on the code before; nothing is passed on.

--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -61,4 +61,20 @@
     EXPECT_EQ(second.failure, entry::AttemptProgress::Sent);
 }
 
+// Guards against a 200 with an empty body for an answer whose head was cut off.
+TEST_F(TargetAnswersFailure, AnswerThatStopsInItsHeadIsAFailure)
+{
+    const auto whole = answer("r1", "");
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto& head : { whole, chunkedHead }) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            const ScriptedServer server([&](Tcp::socket& socket, int) {
+                readRequest(socket);
+                writeText(socket, head.substr(0, length));
+            });
+            EXPECT_EQ(send(server).failure, entry::AttemptProgress::Sent) << head.substr(0, length);
+        }
+    }
+}
+
 } // namespace arbutuscrank::node::test
