Wait for the final answer after an informational one

Callers could get an informational answer (1xx) as their whole answer: with a signature it counted as complete, without one as a failure with unknown outcome although the final answer followed. Cause: the parser reports a 1xx as a complete message without a body, and the attempt took the first message. Change: informational answers are skipped like answers to earlier requests, four in all; a connection on which one was skipped is not used again. Test: InformationalAnswerIsNotTheAnswer failed before and passes now.

--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -14,9 +14,11 @@
     constexpr Duration targetAckTimeout = std::chrono::milliseconds(1500);
     /// Keep-alive timeout of targets that send no Keep-Alive header.
     constexpr Duration defaultKeepAlive = std::chrono::seconds(5);
-    /// Number of answers that belong to no request or to an earlier one and are skipped before the connection is
-    /// closed.
-    constexpr std::uint32_t maxLateAnswers = 2;
+    /// Number of answers that are informational, or belong to no request or to an earlier one, and are skipped before
+    /// the connection is closed.
+    constexpr std::uint32_t maxSkippedAnswers = 4;
+    /// Lower statuses are informational: the final answer follows.
+    constexpr unsigned firstFinalStatus = 200;
 
     std::optional<entry::LoadReport> parseLoad(std::string_view text)
     {
@@ -145,17 +147,17 @@
 
 void TargetAttempt::handleAnswer()
 {
-    if (!isAnswerToThisRequest()) {
-        if (m_parser->need_eof() || ++m_lateAnswers > maxLateAnswers) {
-            fail(entry::AttemptProgress::Sent, "answer: its request id is that of another request");
-            return;
-        }
-        readAnswer();
+    const bool isFinal = m_parser->get().result_int() >= firstFinalStatus;
+    if (!isFinal || !isAnswerToThisRequest()) {
+        if ((isFinal && m_parser->need_eof()) || ++m_skippedAnswers > maxSkippedAnswers)
+            fail(entry::AttemptProgress::Sent, "answer: informational, or not to this request");
+        else
+            readAnswer();
         return;
     }
     AttemptResult result;
     const bool isReusable = m_hasSentRequest && m_parser->keep_alive() && !m_parser->need_eof() && m_buffer.size() == 0
-        && m_lateAnswers == 0;
+        && m_skippedAnswers == 0;
     const auto idleTimeout = keepAliveTimeout();
     result.answer = m_parser->release();
     const auto& names = m_owner.m_names;
--- a/src/node/target_attempt.hpp
+++ b/src/node/target_attempt.hpp
@@ -39,7 +39,7 @@
     bool m_hasConnectSucceeded = false; ///< whether a new connection was opened; stays false on an idle connection
     bool m_hasSentRequest = false; ///< whether the whole request is written
     bool m_hasEnded = false;
-    std::uint32_t m_lateAnswers = 0; ///< late answers to earlier requests, skipped
+    std::uint32_t m_skippedAnswers = 0; ///< answers that are informational or not to this request
 };
 
 } // namespace arbutuscrank::node
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -77,4 +77,20 @@
     }
 }
 
+// Guards against an informational answer that is passed on as the whole answer.
+TEST_F(TargetAnswersFailure, InformationalAnswerIsNotTheAnswer)
+{
+    const std::string informational = "HTTP/1.1 103 Early Hints\r\nId: r1\r\nSignature: s\r\n\r\n";
+    const ScriptedServer whole([&](Tcp::socket& socket, int) {
+        readRequest(socket);
+        writeText(socket, informational + answer("r1", "own"));
+    });
+    EXPECT_EQ(send(whole).answer.body(), "own");
+    const ScriptedServer cut([&](Tcp::socket& socket, int) {
+        readRequest(socket);
+        writeText(socket, informational);
+    });
+    EXPECT_EQ(send(cut).failure, entry::AttemptProgress::Sent);
+}
+
 } // namespace arbutuscrank::node::test
