Bound what a target or a caller can send without end

Callers of a VM could lose it when a target sent bytes without end: the process grew until the platform killed it for its memory, and all requests of that VM broke off. Cause: head and body of an answer have limits, but the extension of a chunk and the trailer have none in the HTTP parser, so the buffer before it grew with each read. The same holds for a caller's request, the store's answers and the small HTTP servers. Bodies of up to 32 MiB each were also held without a limit on their sum, on VMs of 112 MB. Change: the buffers before the parser are bounded (128 KiB). Past a quarter of the VM's memory for all answers that are being received, the longest one fails. A caller's request past the buffer gets 413. Slow endless answers end with the attempt. Test, on the code before: EndlessAnswerEndsWithItsConnection fails for the chunk extension and the trailer (256 MiB read, the limit at which the test's target gives up; head, body and garbage were bounded already), EndlessAnswersTogetherKeepToTheirMemory (149 MB of 101 MB) and EndlessChunkExtensionIsRejected (50 MB of 13 MB). All pass now. CancelledAttemptClosesTheConnectionOfASlowEndlessAnswer passed before too: it shows that this case cannot happen.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -27,7 +27,7 @@
     {
         if (ec == http::error::header_limit)
             return http::status::request_header_fields_too_large;
-        if (ec == http::error::body_limit)
+        if (ec == http::error::body_limit || ec == http::error::buffer_overflow)
             return http::status::payload_too_large;
         return http::status::bad_request;
     }
@@ -62,6 +62,7 @@
     m_parser.emplace();
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->body_limit(limits.maxBodyBytes);
+    m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), limits.maxHeaderBytes + maxUnparsedBytes));
     if (m_buffer.size() != 0) {
         readRequest();
         return;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -29,6 +29,8 @@
     constexpr Duration directReadTime = std::chrono::seconds(4);
     /// Time for which a starting VM retries an unreachable feed, because its coordinator may be starting too.
     constexpr Duration coordinatorStartTimeout = milliseconds(1500);
+    /// Part of the process's memory for answers that are being received, as a divisor.
+    constexpr std::uint64_t answerMemoryDivisor = 4;
     /// Delay of the event loop from which it is logged.
     constexpr Duration loggedLoopDelay = milliseconds(250);
     /// Delay before a failed accept is retried, so that a shortage of file descriptors does not cause a busy loop.
@@ -103,7 +105,7 @@
     , m_platform(std::move(platform))
     , m_log(settings.vm, settings.logLevel, STDOUT_FILENO)
     , m_state(settings, makeSelfRecord(settings), std::random_device {}())
-    , m_targetConnections(context, m_platform.headers)
+    , m_targetConnections(context, m_platform.headers, settings.memoryBytes / answerMemoryDivisor)
     , m_messageSocket(context, [this](std::string_view bytes) { handleMessage(bytes); })
     , m_readinessServer(context, [this](std::string_view target) { return serveReadiness(target); })
     , m_lookupServer(context, [this](std::string_view target) { return serveLookup(target); })
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -68,7 +68,7 @@
     bool m_isBusy = false;
     bool m_isConnected = false;
     std::uint64_t m_generation = 0; ///< changes when a call ends, so that late completions are ignored
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
     std::shared_ptr<Parser> m_parser;
 };
 
--- a/src/node/http_get_server.cpp
+++ b/src/node/http_get_server.cpp
@@ -66,7 +66,7 @@
         Tcp::socket m_socket;
         asio::steady_timer m_timer;
         std::shared_ptr<HttpGetServer::AsyncHandler> m_handler;
-        boost::beast::flat_buffer m_buffer;
+        boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
         http::request<http::string_body> m_request;
         HttpGetServer::Answer m_answer;
     };
--- a/src/node/network.hpp
+++ b/src/node/network.hpp
@@ -21,6 +21,10 @@
 using Udp = asio::ip::udp;
 using SystemError = boost::system::error_code;
 
+/// \brief Limit on the bytes of a connection that are read and not parsed yet. It bounds parts of a message for which
+/// the HTTP parser has no limit of its own, such as chunk extensions and trailers.
+inline constexpr std::size_t maxUnparsedBytes = 128U << 10U;
+
 /// \brief Parses "ip:port". \returns InvalidArgument with the text found
 [[nodiscard]] Result<Tcp::endpoint> parseEndpoint(std::string_view text);
 
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -111,16 +111,36 @@
 {
     m_parser.emplace();
     m_parser->body_limit(maxAnswerBytes);
-    http::async_read(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](SystemError ec, std::size_t) {
+    m_parser->eager(true);
+    readMore();
+}
+
+void TargetAttempt::readMore()
+{
+    http::async_read_some(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](SystemError ec, std::size_t) {
         if (self->m_hasEnded)
             return;
-        if (ec)
+        if (ec) {
             self->fail(entry::AttemptProgress::Sent, "answer: " + ec.message());
-        else
+            return;
+        }
+        if (self->m_parser->is_done()) {
             self->handleAnswer();
+            return;
+        }
+        self->setAnswerBytes(self->m_parser->get().body().size() + self->m_buffer.size());
+        if (!self->m_hasEnded)
+            self->readMore();
     });
 }
 
+void TargetAttempt::setAnswerBytes(std::uint64_t n) { m_owner.countAnswerBytes(std::exchange(m_answerBytes, n), n); }
+
+void TargetAttempt::failForMemory()
+{
+    fail(entry::AttemptProgress::Sent, "answer: the answers that are being received exceed their memory");
+}
+
 bool TargetAttempt::isAnswerToThisRequest() const
 {
     const auto& answer = m_parser->get();
@@ -187,6 +207,7 @@
         return;
     const auto self = shared_from_this();
     m_connectTimer.cancel();
+    setAnswerBytes(0);
     m_owner.m_attempts.erase(m_parameters.attempt);
     if (auto done = std::exchange(m_done, {}))
         done(std::move(result));
--- a/src/node/target_attempt.hpp
+++ b/src/node/target_attempt.hpp
@@ -15,11 +15,18 @@
 
     void start(std::shared_ptr<Tcp::socket> idleSocket);
     void cancel();
+    /// \brief Fails the attempt, because the answers that are being received exceed their memory.
+    void failForMemory();
+
+    /// \brief Number of bytes of the answer that have been received and are held in memory.
+    [[nodiscard]] std::uint64_t answerBytes() const noexcept { return m_answerBytes; }
 
 private:
     void connect(const Tcp::endpoint& endpoint);
     void sendRequest();
     void readAnswer();
+    void readMore();
+    void setAnswerBytes(std::uint64_t n);
     void handleAnswer();
     void fail(entry::AttemptProgress progress, std::string detail);
     void finish(AttemptResult result);
@@ -33,12 +40,13 @@
     TargetConnections::Done m_done;
     std::shared_ptr<Tcp::socket> m_socket;
     asio::steady_timer m_connectTimer;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
     std::optional<http::response_parser<http::string_body>> m_parser;
     bool m_isConnectionReused = false; ///< whether the connection has carried an earlier request
     bool m_hasConnectSucceeded = false; ///< whether a new connection was opened; stays false on an idle connection
     bool m_hasSentRequest = false; ///< whether the whole request is written
     bool m_hasEnded = false;
+    std::uint64_t m_answerBytes = 0;
     std::uint32_t m_skippedAnswers = 0; ///< answers that are informational or not to this request
 };
 
--- a/src/node/target_connections.hpp
+++ b/src/node/target_connections.hpp
@@ -31,9 +31,12 @@
 public:
     using Done = std::function<void(AttemptResult)>;
 
-    TargetConnections(asio::io_context& context, HeaderNames names)
+    /// \param maxAnswerBytes limit on the bytes of all answers that are being received; past it, the attempt with the
+    /// longest answer fails
+    TargetConnections(asio::io_context& context, HeaderNames names, std::uint64_t maxAnswerBytes)
         : m_context(context)
         , m_names(std::move(names))
+        , m_maxAnswerBytes(maxAnswerBytes)
     {
     }
 
@@ -60,9 +63,13 @@
     [[nodiscard]] std::shared_ptr<Tcp::socket> takeIdle(const std::string& target, Duration idleTimeLimit);
     void storeIdle(const std::string& target, std::shared_ptr<Tcp::socket> socket, Duration keepAliveTimeout);
     void removeIdle(const std::string& target, const Tcp::socket* socket);
+    /// Changes the number of bytes of answers that are being received. Past the limit, fails the longest one.
+    void countAnswerBytes(std::uint64_t before, std::uint64_t now);
 
     asio::io_context& m_context;
     HeaderNames m_names;
+    std::uint64_t m_maxAnswerBytes;
+    std::uint64_t m_answerBytes = 0; ///< of all answers that are being received
     std::map<entry::AttemptId, std::shared_ptr<TargetAttempt>> m_attempts;
     std::map<std::string, std::vector<IdleConnection>>
         m_idleConnections; ///< by target; the most recently used one is last
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -133,4 +133,24 @@
     EXPECT_TRUE(receivedRequests.empty());
 }
 
+// Guards against memory that grows without limit while a caller sends the extension of a chunk without end.
+TEST_F(CallerSessionFailure, EndlessChunkExtensionIsRejected)
+{
+    constexpr std::size_t socketBufferBytes = 12U << 20U;
+    SystemError ec;
+    asio::write(
+        caller, asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;x=")), ec);
+    const std::string block(64U << 10U, 'x');
+    std::size_t writtenBytes = 0;
+    caller.non_blocking(true);
+    (void)runUntil(context, [&] {
+        ec = {};
+        while (!ec && writtenBytes < 4 * socketBufferBytes)
+            writtenBytes += caller.write_some(asio::buffer(block), ec);
+        return ec != asio::error::would_block || writtenBytes >= 4 * socketBufferBytes;
+    });
+    EXPECT_LE(writtenBytes, socketBufferBytes);
+    EXPECT_TRUE(receivedRequests.empty());
+}
+
 } // namespace arbutuscrank::node::test
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <memory>
 #include <vector>
 
 namespace arbutuscrank::node::test {
@@ -15,6 +16,38 @@
         return "HTTP/1.1 503 Busy\r\n" + idHeader + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     }
 
+    /// A target that writes the same bytes again and again until the connection fails.
+    struct EndlessTarget {
+        /// Limit at which the target gives up, so that a failing test ends.
+        static constexpr std::size_t maxBytes = 256U << 20U;
+
+        explicit EndlessTarget(std::string start, std::string repeated)
+            : server([this, first = std::move(start), next = std::move(repeated)](Tcp::socket& socket, int) {
+                readRequest(socket);
+                SystemError ec;
+                writtenBytes += asio::write(socket, asio::buffer(first), ec);
+                while (!ec && writtenBytes < maxBytes)
+                    writtenBytes += asio::write(socket, asio::buffer(next), ec);
+            })
+        {
+        }
+
+        std::atomic<std::size_t> writtenBytes { 0 };
+        ScriptedServer server;
+    };
+
+    /// Bytes that sockets may hold besides those that the process has read.
+    constexpr std::size_t socketBufferBytes = 12U << 20U;
+    constexpr std::size_t blockBytes = 16U << 10U;
+
+    std::string repeat(const std::string& text)
+    {
+        std::string out;
+        while (out.size() < blockBytes)
+            out += text;
+        return out;
+    }
+
 } // namespace
 
 // Guards against "not run" for a request that a target runs while it repeats the refusal of an earlier request.
@@ -93,4 +126,93 @@
     EXPECT_EQ(send(cut).failure, entry::AttemptProgress::Sent);
 }
 
+// Guards against memory that grows without limit while a target sends bytes without end.
+TEST_F(TargetAnswersFailure, EndlessAnswerEndsWithItsConnection)
+{
+    struct Case {
+        std::string name;
+        std::string start;
+        std::string repeated;
+        std::size_t allowedBytes; ///< that the process may read before it closes the connection
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\n";
+    constexpr std::size_t headBytes = 1U << 20U;
+    constexpr std::size_t bodyBytes = 32U << 20U;
+    const std::array cases {
+        Case { "status line", "HTTP/1.1 200 ", repeat("O"), headBytes },
+        Case { "header line", ok + "X-Long: ", repeat("x"), headBytes },
+        Case { "header lines", ok, repeat("X-More: 1\r\n"), headBytes },
+        Case { "no HTTP", "", repeat("garbage "), headBytes },
+        Case { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n5;x=", repeat("x"), headBytes },
+        Case { "trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", repeat("X-More: 1\r\n"), headBytes },
+        Case { "empty informational answers", "", repeat("HTTP/1.1 100 Continue\r\n\r\n"), headBytes },
+        Case { "answers to other requests", "", repeat(answer("r0", "old")), headBytes },
+        Case { "chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", repeat("5\r\nabcde\r\n"), 2 * bodyBytes },
+        Case { "body without a length", ok + "\r\n", repeat("abcdefgh"), bodyBytes },
+        Case { "body with a large length", ok + "Content-Length: 99999999999\r\n\r\n", repeat("abcdefgh"), bodyBytes },
+    };
+    for (const auto& it : cases) {
+        const EndlessTarget target(it.start, it.repeated);
+        EXPECT_EQ(send(target.server).failure, entry::AttemptProgress::Sent) << it.name;
+        EXPECT_LE(target.writtenBytes, it.allowedBytes + socketBufferBytes) << it.name;
+    }
+}
+
+// Guards against a connection that stays open while a target sends its answer byte by byte without end.
+TEST_F(TargetAnswersFailure, CancelledAttemptClosesTheConnectionOfASlowEndlessAnswer)
+{
+    for (const std::string start : { "HTTP/1.1 200 OK\r\nX-Long: ", "HTTP/1.1 200 OK\r\nId: r1\r\n\r\n" }) {
+        std::atomic<bool> isClosed { false };
+        const ScriptedServer server([&](Tcp::socket& socket, int n) {
+            if (n > 0)
+                return;
+            readRequest(socket);
+            writeText(socket, start);
+            SystemError ec;
+            for (int i = 0; i < 1000 && !ec; ++i) {
+                asio::write(socket, asio::buffer("x", 1), ec);
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            }
+            isClosed = static_cast<bool>(ec);
+        });
+        CallerRequest request(http::verb::get, "/a/1", 11);
+        request.set("Id", "r1");
+        const auto sent = makeAttempt(server);
+        connections.send(sent, request, [](const AttemptResult&) { ADD_FAILURE() << "the attempt was cancelled"; });
+        context.run_for(std::chrono::milliseconds(100));
+        connections.cancel(sent.attempt);
+        EXPECT_TRUE(runUntil(context, [&] { return isClosed.load(); }));
+    }
+}
+
+// Guards against a VM that runs out of memory because several targets send answers without end.
+TEST_F(TargetAnswersFailure, EndlessAnswersTogetherKeepToTheirMemory)
+{
+    constexpr std::size_t targetCount = 4;
+    const std::string start = "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\n\r\n";
+    std::vector<std::unique_ptr<EndlessTarget>> targets;
+    std::size_t failures = 0;
+    CallerRequest request(http::verb::get, "/a/1", 11);
+    request.set("Id", "r1");
+    for (std::size_t i = 0; i < targetCount; ++i) {
+        targets.push_back(std::make_unique<EndlessTarget>(start, repeat("abcdefgh")));
+        connections.send(makeAttempt(targets.back()->server), request, [&](const AttemptResult& result) {
+            EXPECT_EQ(result.failure, entry::AttemptProgress::Sent);
+            ++failures;
+        });
+    }
+    ASSERT_TRUE(runUntil(context, [&] { return failures > 0; }));
+    std::size_t writtenBytes = 0;
+    for (const auto& target : targets)
+        writtenBytes += target->writtenBytes;
+    EXPECT_LE(writtenBytes, maxAnswerBytes + targetCount * socketBufferBytes);
+    ASSERT_TRUE(runUntil(context, [&] { return failures == targetCount; }));
+    // The memory is free again.
+    const ScriptedServer sound([](Tcp::socket& socket, int) {
+        readRequest(socket);
+        writeText(socket, answer("r1", "own"));
+    });
+    EXPECT_EQ(send(sound).answer.body(), "own");
+}
+
 } // namespace arbutuscrank::node::test
--- a/tests/node/target_fixture.hpp
+++ b/tests/node/target_fixture.hpp
@@ -63,7 +63,8 @@
     }
 
     asio::io_context context;
-    TargetConnections connections { context, makeHeaderNames() };
+    static constexpr std::uint64_t maxAnswerBytes = 48U << 20U;
+    TargetConnections connections { context, makeHeaderNames(), maxAnswerBytes };
     entry::AttemptId attempt = 0;
 };
 
