List every collection again once the policy is read after a failure

A VM could use a draining target or an evacuated failure domain for up to 25 s (the wait of a watch) if the connection of that watch had died without a reset. Cause: the loss is noticed by the policy's reader, whose failure restarts the others, but only if no other read had failed before it. Restarted during a loss, they also fail at once and wait for their backoff. Change: after a failed read of the policy, the first one that succeeds restarts the other readers. Test: EveryCollectionIsListedOnceTheStoreAnswersAfterALoss failed before (no list within 10 s) and passes now.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -219,8 +219,8 @@
     // An answered watch of the policy proves that no key was withdrawn before the watch was sent. The age of this proof
     // must stay within the bound on withdrawals. The wait counts twice towards that age: the coordinator waits for the
     // store, and a VM that reads the coordinator's feed waits for the coordinator. The other collections only need a
-    // live connection, so their watches wait long. When the policy's reader fails, all collections are listed again,
-    // which replaces dead connections.
+    // live connection, so their watches wait long. Once the policy is read again after a failure, all collections are
+    // listed again, which replaces dead connections.
     const Duration policyWatchWait = m_state.settings.bounds.keyWithdrawalLimit / 5;
     constexpr Duration otherWatchWait = std::chrono::seconds(25);
     // The pause lets one call read changes that come together, as at a start or a release. It is a small part of the
@@ -254,6 +254,7 @@
         reader->stop();
     m_store->setSource(source);
     m_hasStartedReaders = true;
+    m_mustListAfterFailure = false;
     log(LogEvent::StoreSourceChanged, fmt::format("source={}", source.empty() ? "store" : source));
     for (const auto& [collection, reader] : m_readers)
         reader->restart();
@@ -270,6 +271,8 @@
                 dispatch(entry::StoreAnswered {});
                 if (collection == Collection::Policy && m_state.policy.policy().version != 0)
                     dispatch(entry::PolicyConfirmed { sentAt });
+                if (collection == Collection::Policy && m_mustListAfterFailure)
+                    listAfterFailure();
             },
         .onFailed = [this, collection](const Error& error) { handleReadFailure(collection, error); },
     };
@@ -290,11 +293,16 @@
     }
     if (!wasStoreUnavailable)
         log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
-    if (collection != Collection::Policy || wasStoreUnavailable)
-        return;
+    if (collection == Collection::Policy)
+        m_mustListAfterFailure = true;
+}
+
+void EntryNode::listAfterFailure()
+{
     // The connections of the other readers may be dead too, which a long watch would not show for some time.
-    for (const auto& [other, reader] : m_readers) {
-        if (other != collection)
+    m_mustListAfterFailure = false;
+    for (const auto& [collection, reader] : m_readers) {
+        if (collection != Collection::Policy)
             reader->restart();
     }
 }
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -67,6 +67,8 @@
     [[nodiscard]] std::vector<entry::TargetRecord> decodeTargets(const std::vector<StoreObject>& objects);
     void handleReadFailure(Collection collection, const Error& error);
     void handleFeedFailure(Collection collection, const Error& error);
+    /// Lists all collections other than the policy again.
+    void listAfterFailure();
     /// Writes this VM's registration unless \p registered, the one in the store (null if there is none), equals it.
     void registerSelf(const StoreObject* registered);
     void tick();
@@ -123,6 +125,7 @@
     bool m_isDispatching = false;
     bool m_isRegistering = false;
     bool m_hasStoppedListening = false;
+    bool m_mustListAfterFailure = false; ///< a read of the policy has failed since the collections were last listed
     RequestId m_lastRequestId = 0;
     std::uint64_t m_failedStoreCalls = 0;
     std::map<Collection, TimePoint> m_readConfirmedAt; ///< time as of which the newest read is confirmed
