Close a target's connection after a refusal in arbutuscrankd

Callers of arbutuscrankd could be told "not run" for a request that a target was running, or it ran at a second target too, when a faulty target wrote an earlier refusal once more on a kept connection. Cause: answers of the targets of arbutuscrankd name no request, so a refusal that is repeated after the check for unread data counts for the next request on the connection. Test: RepeatedRefusalIsNotTheAnswerToTheNextRequest failed before (not run was reported for the second request) and passes now. AnswerThatStopsInItsHeadIsAFailure and EndlessHeadIsAFailure passed before too: they show that arbutuscrankd passes on no answer whose head was cut off and reads no head without end.

--- a/src/daemon/target_client.cpp
+++ b/src/daemon/target_client.cpp
@@ -139,12 +139,15 @@
             const auto* info = mg_get_response_info(m_connection.connection);
             m_result.status = info->status_code;
             m_result.reportedLoad = parseLoad(*info);
-            if (isDocumentedRefusal(*info))
-                return recordRefusal(*info);
+            if (isDocumentedRefusal(*info)) {
+                recordRefusal(*info);
+                // Answers name no request, so a repeated refusal would count for the next request on the connection.
+                return false;
+            }
             return relayAnswer(*info);
         }
 
-        bool recordRefusal(const mg_response_info& info)
+        void recordRefusal(const mg_response_info& info)
         {
             m_result.outcome = AttemptOutcome::NotRun;
             m_result.shed = true;
@@ -153,13 +156,6 @@
                 m_result.retryAfter = std::chrono::seconds(*seconds);
             m_result.detail = "target.answer " + m_attempt.address + ": the target refused the request with status "
                 + std::to_string(info.status_code);
-            if (hasNoBody(info, m_request.method))
-                return true;
-            std::array<char, readBufferBytes> buf {};
-            std::int64_t totalBytes = 0;
-            for (int n = 1; n > 0 && totalBytes < info.content_length; totalBytes += n)
-                n = mg_read(m_connection.connection, buf.data(), buf.size());
-            return totalBytes == info.content_length;
         }
 
         bool relayAnswer(const mg_response_info& info)
