Show why a cluster of the system tests did not start

Change: the step that failed and each daemon's state and log go to standard error; a failed call for the list of VMs is reported too.

--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -193,7 +193,9 @@
             { "peerAddress", m_peerAddresses[n] }, { "state", "live" } });
     }
     HttpClient client(m_platformAddress);
-    (void)client.request("PUT", "/vms", {}, vms.dump(), callTimeout);
+    const auto answer = client.request("PUT", "/vms", {}, vms.dump(), callTimeout);
+    if (!answer)
+        std::cerr << "cannot publish the list of VMs: " << describe(answer.error()) << '\n';
 }
 
 void Cluster::startDaemon(std::size_t n)
@@ -223,26 +225,35 @@
     const auto isPlatformUp
         = [this] { return HttpClient(m_platformAddress).request("GET", "/stats", {}, {}, callTimeout).has_value(); };
     if (!eventually(isPlatformUp))
-        return false;
+        return reportFailedStart("the stand-in of the platform does not answer");
     publishVmList();
     for (std::size_t n = 0; n < m_daemons.size(); ++n)
         startDaemon(n);
     if (!eventually([this] { return !dumpState(0).is_null(); }))
-        return false;
+        return reportFailedStart("the first daemon does not answer");
     const auto applyAnswer = sendAdminRequest(0, "PUT", "/v1/config", { "If-Match: 0" }, document.dump());
-    if (!applyAnswer || applyAnswer.value().status != 200) {
-        std::cerr << "cannot apply the document: "
-                  << (applyAnswer ? applyAnswer.value().body : describe(applyAnswer.error())) << '\n';
-        return false;
-    }
-    return eventually([this] { return areAllSlotsUsable(); }) && eventually([this] {
+    if (!applyAnswer || applyAnswer.value().status != 200)
+        return reportFailedStart(
+            "cannot apply the document: " + (applyAnswer ? applyAnswer.value().body : describe(applyAnswer.error())));
+    if (!eventually([this] { return areAllSlotsUsable(); }))
+        return reportFailedStart("not all slots are usable");
+    const auto isServedByAllDaemons = [this] {
         for (std::size_t n = 0; n < m_daemons.size(); ++n) {
-            const auto answer = request(n, "GET", "/kitty/ready");
-            if (!answer || answer.value().status != 200)
+            if (statusOf(request(n, "GET", "/kitty/ready")) != 200)
                 return false;
         }
         return true;
-    });
+    };
+    return eventually(isServedByAllDaemons) || reportFailedStart("not every daemon serves requests");
+}
+
+bool Cluster::reportFailedStart(std::string_view reason) const
+{
+    std::cerr << "the cluster did not start: " << reason;
+    for (std::size_t n = 0; n < m_daemons.size(); ++n)
+        std::cerr << "\nstate of daemon " << n << ": " << dumpState(n).dump();
+    std::cerr << readLogs();
+    return false;
 }
 
 bool Cluster::areAllSlotsUsable() const
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -64,7 +64,8 @@
     Cluster& operator=(const Cluster&) = delete;
 
     /// \brief Starts all processes, applies the document and waits until every daemon serves requests with it.
-    /// \returns false if a step fails or takes longer than 30 s
+    /// \returns false if a step fails or takes longer than 30 s; the step and the daemons' state and logs are then
+    /// written to standard error
     [[nodiscard]] bool start();
 
     /// \brief Starts daemon \p n; kills its previous process first, if there is one.
@@ -112,6 +113,8 @@
     /// Reserves a block of ports that no other cluster on this machine uses. \returns \p count addresses in it
     [[nodiscard]] std::vector<std::string> reservePortBlock(std::size_t count);
     void publishVmList() const;
+    /// \returns false
+    bool reportFailedStart(std::string_view reason) const;
 
     ClusterShape m_shape;
     int m_portLockSocket = -1; ///< socket bound to the first port of the block, which reserves the block
