See a caller's close behind unread requests

Targets got requests whose callers had left (GONE): on a busy VM a close was not seen before a request was sent if the caller had sent further requests before it closed. Cause: the check before each send looked at the next unread byte, and the bytes of further requests hide the close. Change: the socket is asked whether the peer has closed (POLLRDHUP), which holds also behind unread bytes. Evidence: the test. Test: DetectsACloseBehindUnreadRequests failed before and passes now.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -1,8 +1,7 @@
 #include "node/caller_session.hpp"
 
 #include <algorithm>
-#include <cerrno>
-#include <sys/socket.h>
+#include <poll.h>
 
 namespace arbutuscrank::node {
 
@@ -200,9 +199,8 @@
 {
     if (m_isClosed || !m_socket.is_open())
         return true;
-    char next = 0;
-    const auto n = ::recv(m_socket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    pollfd state { .fd = m_socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
+    return ::poll(&state, 1, 0) > 0;
 }
 
 void CallerSession::closeIfNoneUnanswered()
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -49,8 +49,8 @@
     /// written. A request that is still being read is dropped.
     void closeIfNoneUnanswered();
 
-    /// \brief Whether the caller has closed the connection. It peeks at the socket, so that it sees a close before the
-    /// event loop reports it. Unread bytes of further requests hide the close.
+    /// \brief Whether the caller has closed the connection. It asks the socket, so that it sees a close before the
+    /// event loop reports it, also behind unread bytes of further requests.
     [[nodiscard]] bool hasCallerClosed();
 
     [[nodiscard]] bool hasNoUnansweredRequest() const noexcept { return m_pendingAnswers.empty() && !m_isWriting; }
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -100,6 +100,21 @@
     EXPECT_TRUE(abandonedRequests.empty());
 }
 
+// Guards against requests that are sent to a target although their caller has disconnected, because further requests on
+// the connection hide the close.
+TEST_F(CallerSessionFailure, DetectsACloseBehindUnreadRequests)
+{
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    writeText(caller, get("/2"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20)); // the event loop does not run
+    EXPECT_FALSE(session->hasCallerClosed());
+    caller.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    EXPECT_TRUE(session->hasCallerClosed());
+    EXPECT_EQ(receivedRequests.size(), 1U);
+}
+
 // Guards against a stop that aborts a request, and against callers that stay connected to a stopping VM.
 TEST_F(CallerSessionFailure, StopAnswersAndThenCloses)
 {
