--- a/tests/node/entry_node_failure_test.cpp
+++ b/tests/node/entry_node_failure_test.cpp
@@ -10,11 +10,11 @@
 namespace {
 
     struct EmptyDecoder : StoreDecoder {
-        Result<entry::TrafficPolicy> decodePolicy(const StoreObject&) const override
+        [[nodiscard]] Result<entry::TrafficPolicy> decodePolicy(const StoreObject&) const override
         {
             return entry::TrafficPolicy { .version = 1 };
         }
-        Result<entry::TargetRecord> decodeTarget(const StoreObject&) const override
+        [[nodiscard]] Result<entry::TargetRecord> decodeTarget(const StoreObject&) const override
         {
             return Error { ErrorCode::InvalidArgument, "test", {}, "no target" };
         }
--- a/tests/system/cluster.hpp
+++ b/tests/system/cluster.hpp
@@ -114,7 +114,7 @@
     [[nodiscard]] std::vector<std::string> reservePortBlock(std::size_t count);
     void publishVmList() const;
     /// \returns false
-    bool reportFailedStart(std::string_view reason) const;
+    [[nodiscard]] bool reportFailedStart(std::string_view reason) const;
 
     ClusterShape m_shape;
     int m_portLockSocket = -1; ///< socket bound to the first port of the block, which reserves the block
