Serve the first request of a starting server with its handler

Callers and operators of arbutuscrankd could get 404 for a proper request while the daemon started. Cause: CivetWeb serves requests before mg_start() returns; the handlers were set afterwards, and CivetWeb answers 404 without one. The tests took any answer for success. Change: the handler is given to mg_start(), in arbutuscrankd and in the stand-ins; the callers' server tells look-ups by their path. The tests check the status of these calls.

--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -142,11 +142,13 @@
         "enable_keep_alive", "yes", "request_timeout_ms", "30000", "tcp_nodelay", "1",
         static_cast<const char*>(nullptr) };
     mg_callbacks callbacks {};
+    // CivetWeb serves requests before mg_start() returns, so handlers that are set afterwards would miss the first
+    // ones.
+    callbacks.begin_request = &AdminServer::handleRequest;
     m_context = mg_start(&callbacks, this, const_cast<const char**>(options.data()));
     if (m_context == nullptr)
         return Error { ErrorCode::Unavailable, "admin.listen", m_settings.listenAddress,
             "the address cannot be bound" };
-    mg_set_request_handler(m_context, "/", &AdminServer::handleRequest, this);
     return outcome::success();
 }
 
@@ -158,9 +160,9 @@
 
 // --- Routing ---------------------------------------------------------------------------------------------------------
 
-int AdminServer::handleRequest(mg_connection* connection, void* server)
+int AdminServer::handleRequest(mg_connection* connection)
 {
-    static_cast<AdminServer*>(server)->serveRequest(connection);
+    static_cast<AdminServer*>(mg_get_user_data(mg_get_context(connection)))->serveRequest(connection);
     return 1;
 }
 
--- a/src/daemon/admin_server.hpp
+++ b/src/daemon/admin_server.hpp
@@ -60,7 +60,7 @@
     /// Changes a document, or returns an error that names the missing object.
     using Edit = std::function<Result<void>(Document&)>;
 
-    static int handleRequest(mg_connection* connection, void* server);
+    static int handleRequest(mg_connection* connection);
 
     void serveRequest(mg_connection* connection);
     [[nodiscard]] bool isAuthorized(const mg_request_info& info) const;
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -20,6 +20,7 @@
 
     constexpr std::size_t maxLookupEntries = 3;
     constexpr std::string_view bearerPrefix = "Bearer ";
+    constexpr std::string_view lookupPath = "/v1/lookup";
 
     // --- Reading a request -------------------------------------------------------------------------------------------
 
@@ -162,12 +163,13 @@
     // CivetWeb calls connection_closed too late: by then it has reset the user data, and the file descriptor of the
     // socket may be in use again.
     callbacks.connection_close = &CallerServer::closeConnection;
+    // CivetWeb serves requests before mg_start() returns, so handlers that are set afterwards would miss the first
+    // ones.
+    callbacks.begin_request = &CallerServer::handleRequest;
     m_context = mg_start(&callbacks, this, const_cast<const char**>(options.data()));
     if (m_context == nullptr)
         return Error { ErrorCode::Unavailable, "caller.listen", m_settings.listenAddress,
             "the address cannot be bound" };
-    mg_set_request_handler(m_context, "/v1/lookup", &CallerServer::handleLookup, this);
-    mg_set_request_handler(m_context, "/", &CallerServer::handleRequest, this);
     return outcome::success();
 }
 
@@ -224,9 +226,14 @@
 
 // --- Requests --------------------------------------------------------------------------------------------------------
 
-int CallerServer::handleRequest(mg_connection* connection, void* server)
+int CallerServer::handleRequest(mg_connection* connection)
 {
-    static_cast<CallerServer*>(server)->serveRequest(connection);
+    auto* server = static_cast<CallerServer*>(mg_get_user_data(mg_get_context(connection)));
+    const std::string_view path = mg_get_request_info(connection)->local_uri;
+    if (path == lookupPath)
+        server->serveLookup(connection);
+    else
+        server->serveRequest(connection);
     return 1;
 }
 
@@ -278,12 +285,6 @@
 
 // --- Lookups ---------------------------------------------------------------------------------------------------------
 
-int CallerServer::handleLookup(mg_connection* connection, void* server)
-{
-    static_cast<CallerServer*>(server)->serveLookup(connection);
-    return 1;
-}
-
 void CallerServer::serveLookup(mg_connection* connection) const
 {
     const auto* info = mg_get_request_info(connection);
--- a/src/daemon/caller_server.hpp
+++ b/src/daemon/caller_server.hpp
@@ -54,8 +54,7 @@
 private:
     struct Connection; ///< record of a caller's connection
 
-    static int handleRequest(mg_connection* connection, void* server);
-    static int handleLookup(mg_connection* connection, void* server);
+    static int handleRequest(mg_connection* connection);
     static int openConnection(const mg_connection* connection, void** data);
     static void closeConnection(const mg_connection* connection);
 
--- a/tests/fakes/http_server.cpp
+++ b/tests/fakes/http_server.cpp
@@ -75,15 +75,17 @@
         "enable_keep_alive", "yes", "keep_alive_timeout_ms", "60000", "request_timeout_ms", "60000", "tcp_nodelay", "1",
         static_cast<const char*>(nullptr) };
     mg_callbacks callbacks {};
+    // CivetWeb serves requests before mg_start() returns, so handlers that are set afterwards would miss the first
+    // ones.
+    callbacks.begin_request = &HttpServer::handle;
     m_context = mg_start(&callbacks, this, const_cast<const char**>(options.data()));
     if (m_context == nullptr)
         throw std::runtime_error("cannot listen on " + address);
-    mg_set_request_handler(m_context, "/", &HttpServer::handle, this);
 }
 
 HttpServer::~HttpServer() { mg_stop(m_context); }
 
-int HttpServer::handle(mg_connection* connection, void* server)
+int HttpServer::handle(mg_connection* connection)
 {
     const auto* info = mg_get_request_info(connection);
     ServerRequest request;
@@ -96,7 +98,7 @@
     std::array<char, 16384> buf {};
     for (int n = mg_read(connection, buf.data(), buf.size()); n > 0; n = mg_read(connection, buf.data(), buf.size()))
         request.body.append(buf.data(), static_cast<std::size_t>(n));
-    static_cast<HttpServer*>(server)->m_handler(request);
+    static_cast<HttpServer*>(mg_get_user_data(mg_get_context(connection)))->m_handler(request);
     return 1;
 }
 
--- a/tests/fakes/http_server.hpp
+++ b/tests/fakes/http_server.hpp
@@ -51,7 +51,7 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
 private:
-    static int handle(mg_connection* connection, void* server);
+    static int handle(mg_connection* connection);
 
     ServerHandler m_handler;
     mg_context* m_context = nullptr;
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -194,8 +194,8 @@
     }
     HttpClient client(m_platformAddress);
     const auto answer = client.request("PUT", "/vms", {}, vms.dump(), callTimeout);
-    if (!answer)
-        std::cerr << "cannot publish the list of VMs: " << describe(answer.error()) << '\n';
+    if (statusOf(answer) != 200)
+        std::cerr << "cannot publish the list of VMs: status " << statusOf(answer) << '\n';
 }
 
 void Cluster::startDaemon(std::size_t n)
@@ -222,8 +222,9 @@
                                             "--listen=" + m_targetAddresses[n], "--name=kitty-" + std::to_string(n) },
                 m_directory + "/target-" + std::to_string(n) + ".log");
     }
-    const auto isPlatformUp
-        = [this] { return HttpClient(m_platformAddress).request("GET", "/stats", {}, {}, callTimeout).has_value(); };
+    const auto isPlatformUp = [this] {
+        return statusOf(HttpClient(m_platformAddress).request("GET", "/stats", {}, {}, callTimeout)) == 200;
+    };
     if (!eventually(isPlatformUp))
         return reportFailedStart("the stand-in of the platform does not answer");
     publishVmList();
