Reject an announced length past the limit before it is allocated

Callers lost a VM with all its requests when a target announced a body of many gigabytes: the process ended with bad_alloc. Cause: if an eager HTTP parser finds the head and part of the body in one read, it goes on after the limit's error and reserves the announced length. Head and body arrive in one read only at times. Change: the head of an answer is read without eager parsing, the rest with it. Test: EndlessAnswerEndsWithItsConnection has a case that sends head and body at once, which failed before each time with bad_alloc; 16 copies of all target tests together, five times each, pass now.

--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -111,12 +111,13 @@
 {
     m_parser.emplace();
     m_parser->body_limit(maxAnswerBytes);
-    m_parser->eager(true);
     readMore();
 }
 
 void TargetAttempt::readMore()
 {
+    // An eager parser that finds head and body in one read allocates the announced length despite the limit.
+    m_parser->eager(m_parser->is_header_done());
     http::async_read_some(*m_socket, m_buffer, *m_parser, [self = shared_from_this()](SystemError ec, std::size_t) {
         if (self->m_hasEnded)
             return;
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -150,6 +150,8 @@
         Case { "chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", repeat("5\r\nabcde\r\n"), 2 * bodyBytes },
         Case { "body without a length", ok + "\r\n", repeat("abcdefgh"), bodyBytes },
         Case { "body with a large length", ok + "Content-Length: 99999999999\r\n\r\n", repeat("abcdefgh"), bodyBytes },
+        Case { "large length and body at once", ok + "Content-Length: 99999999999\r\n\r\n" + repeat("abcdefgh"),
+            repeat("abcdefgh"), bodyBytes },
     };
     for (const auto& it : cases) {
         const EndlessTarget target(it.start, it.repeated);
