Show when a VM learns that a target is cold, and that cold targets are flooded

Callers saw cold targets overloaded (FAILBACK). An attempt's log line says whether the VM takes the target for cold, but no line said when and why a VM came to that belief: event 507 does, and the gauge arbutuscrank_targets_cold counts them.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -50,6 +50,7 @@
     TargetDraining = 504,
     TargetDrained = 505,
     EvacuationApplied = 506,
+    TargetCold = 507,
     // 6xx: requests
     RequestRefused = 600,
     RequestOutcomeUnknown = 601,
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -75,6 +75,8 @@
         return "target-drained";
     case LogEvent::EvacuationApplied:
         return "evacuation-applied";
+    case LogEvent::TargetCold:
+        return "target-cold";
     case LogEvent::RequestRefused:
         return "request-refused";
     case LogEvent::RequestOutcomeUnknown:
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -276,10 +276,12 @@
             : event.kind == NotRun                  ? health::Outcome::Shed
                                                     : health::Outcome::Failed;
         const auto relative = event.kind == Complete ? relativeDuration(state, request, durationSeconds) : 0;
+        const bool wasCold = target->isCold(now);
         const bool changed = event.kind == Misdirected ? health::recordUnreachable(*target, Duration::zero(), now)
                                                        : health::recordOutcome(*target, outcome, relative, now);
         if (changed)
             logEjection(*target, out);
+        logIfTurnedCold(*target, wasCold, "unreachable", now, out);
     }
     if (event.kind == Complete) {
         recordDuration(state, request, durationSeconds);
@@ -313,12 +315,14 @@
         --request.countedAttempts; // the target received nothing, so the attempt does not count towards maxAttempts
     if (target) {
         const auto* service = state.policy.findService(request.service);
+        const bool wasCold = target->isCold(now);
         const bool changed = event.progress == AttemptProgress::NotConnected
             ? health::recordUnreachable(*target, service ? service->coldTime : Duration::zero(), now)
             : event.progress == AttemptProgress::Sent ? health::recordOutcome(*target, health::Outcome::Failed, 0, now)
                                                       : false;
         if (changed)
             logEjection(*target, out);
+        logIfTurnedCold(*target, wasCold, "unreachable", now, out);
     }
     retryOrEndRequest(state, event.request, request, now, out);
 }
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace arbutuscrank::entry {
 
@@ -30,6 +31,15 @@
 
 } // namespace
 
+void logIfTurnedCold(const Target& target, bool wasCold, std::string_view cause, TimePoint now, Effects& out)
+{
+    if (wasCold || !target.isCold(now))
+        return;
+    out.push_back(WriteLog { LogEvent::TargetCold,
+        fmt::format("target={} remaining_ms={} cause={} revision={}", target.record.id,
+            (*target.coldUntil - now) / std::chrono::milliseconds(1), cause, target.record.revision) });
+}
+
 bool isReady(const EntryState& state) noexcept
 {
     return state.policy.policy().version != 0 && state.targets.isLoaded() && !state.stopRequestedAt;
@@ -74,19 +84,30 @@
 
 void apply(EntryState& state, const TargetsListed& event, TimePoint now, Effects& out)
 {
+    std::set<std::string, std::less<>> coldBefore;
+    for (const auto& [id, target] : state.targets.all()) {
+        if (target.isCold(now))
+            coldBefore.insert(id);
+    }
     for (const auto& id : state.targets.applySnapshot(event.records, now)) {
         const auto* target = state.targets.find(id);
         stopUsingTarget(id, target ? "draining" : "removed", target ? target->record.revision : 0, out);
     }
+    for (const auto& [id, target] : state.targets.all())
+        logIfTurnedCold(target, coldBefore.contains(id), "record", now, out);
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
 }
 
 void apply(EntryState& state, const TargetChanged& event, TimePoint now, Effects& out)
 {
+    const auto* before = state.targets.find(event.record.id);
+    const bool wasCold = before && before->isCold(now);
     if (state.targets.applyRecord(event.record, now))
         stopUsingTarget(event.record.id, "draining", event.record.revision, out);
-    if (auto* target = state.targets.find(event.record.id))
+    if (auto* target = state.targets.find(event.record.id)) {
+        logIfTurnedCold(*target, wasCold, "record", now, out);
         state.selection.updateColdShare(*target, state.policy, state.members, now);
+    }
 }
 
 void apply(EntryState& state, const TargetRemoved& event, TimePoint now, Effects& out)
@@ -102,8 +123,11 @@
         const auto& domain = target.record.failureDomain;
         const auto* service = state.policy.findService(target.record.service);
         // Targets may be cold when the evacuation of their failure domain ends, before the store reports it.
-        if (service && before.contains(domain) && !event.failureDomains.contains(domain))
-            target.coldUntil = std::max(target.coldUntil.value_or(now), now + service->coldTime);
+        if (!service || !before.contains(domain) || event.failureDomains.contains(domain))
+            continue;
+        const bool wasCold = target.isCold(now);
+        target.coldUntil = std::max(target.coldUntil.value_or(now), now + service->coldTime);
+        logIfTurnedCold(target, wasCold, "evacuation", now, out);
     }
     state.targets.setEvacuated(event.failureDomains);
     state.selection.updateColdShares(state.targets, state.policy, state.members, now);
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -36,6 +36,10 @@
 void apply(EntryState& state, const Tick& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StopRequested& event, TimePoint now, Effects& out);
 
+/// \brief Logs that a target has become cold, unless it was cold before.
+/// \param cause how this VM learned of it, as in docs/log-events.md
+void logIfTurnedCold(const Target& target, bool wasCold, std::string_view cause, TimePoint now, Effects& out);
+
 /// \brief Repeats the election of the failure domain's coordinator.
 void updateCoordination(EntryState& state, TimePoint now, Effects& out);
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <random>
 #include <unistd.h>
@@ -676,6 +677,8 @@
             std::chrono::duration<double>(now - confirmedAt).count());
     addMetric("gauge", "requests_in_flight", m_state.requests.size());
     addMetric("gauge", "targets_known", m_state.targets.all().size());
+    addMetric("gauge", "targets_cold",
+        std::ranges::count_if(m_state.targets.all(), [&](const auto& item) { return item.second.isCold(now); }));
     addMetric("gauge", "members_known", m_state.members.fleetSize());
     addMetric("counter", "store_calls_total", m_store->platformCalls());
     addMetric("counter", "store_calls_failed_total", m_failedStoreCalls);
--- /dev/null
+++ b/tests/entry/cold_targets_failure_test.cpp
@@ -0,0 +1,111 @@
+#include "entry/fleet_harness.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace arbutuscrank::entry::test {
+
+namespace {
+
+    /// Requests per second of the whole fleet. Each of the three targets gets a third, more than it may get while cold.
+    constexpr double requestsPerSecond = 75;
+    /// Time for which a target of the fleet's policy is cold.
+    constexpr Duration coldTime = seconds(3);
+
+    TargetRecord makeColdTarget(const std::string& id)
+    {
+        auto record = makeTarget(id);
+        record.coldRemaining = coldTime;
+        return record;
+    }
+
+    /// Requests that the bounds allow within a second to a cold target of the fleet's policy, from all VMs together.
+    double allowedRequests()
+    {
+        const auto bounds = makeSettings().bounds;
+        return makePolicy().services.front().coldRate * bounds.coldRateFactor + bounds.coldSlack;
+    }
+
+    /// Largest number of requests that a target got within one second that began at \p from or later.
+    std::size_t largestSecond(Fleet& fleet, const std::string& target, TimePoint from)
+    {
+        const auto& times = fleet.sendTimes[target];
+        std::size_t largest = 0;
+        for (auto first = std::ranges::lower_bound(times, from); first != times.end(); ++first) {
+            const auto end = std::lower_bound(first, times.end(), *first + seconds(1));
+            largest = std::max(largest, static_cast<std::size_t>(std::distance(first, end)));
+        }
+        return largest;
+    }
+
+} // namespace
+
+// Guards against a flood from VMs that cannot read the store and so do not learn from it that a target is cold.
+TEST(ColdTargetFloodFailure, VmsThatCannotReadTheStoreKeepToTheRate)
+{
+    Fleet fleet({ 4, 4 }, makePolicy());
+    fleet.run(seconds(4), requestsPerSecond);
+    for (const auto* vm : { "a1", "a3", "a4", "b1", "b2", "b4" })
+        fleet.loseStore(vm);
+    fleet.run(seconds(2), requestsPerSecond);
+    const auto turnedColdAt = fleet.now;
+    for (const auto* vm : { "a2", "b3" })
+        fleet.raise(vm, TargetChanged { makeColdTarget("t1") });
+    fleet.run(coldTime, requestsPerSecond);
+    EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", turnedColdAt)), allowedRequests());
+    EXPECT_GT(fleet.sendTimes["t1"].size(), 0U);
+}
+
+// Guards against a flood from VMs that reach neither the store nor enough other VMs to learn that a target is cold.
+TEST(ColdTargetFloodFailure, IsolatedVmsKeepToTheRate)
+{
+    Fleet fleet({ 4, 4 }, makePolicy());
+    fleet.run(seconds(4), requestsPerSecond);
+    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2" }) {
+        fleet.isolate(vm);
+        fleet.loseStore(vm);
+    }
+    fleet.run(seconds(2), requestsPerSecond);
+    const auto turnedColdAt = fleet.now;
+    for (const auto* vm : { "b3", "b4" })
+        fleet.raise(vm, TargetChanged { makeColdTarget("t1") });
+    fleet.run(coldTime, requestsPerSecond);
+    EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", turnedColdAt)), allowedRequests());
+}
+
+// Guards against a flood after a restart of the whole fleet: the entry of a target that turned cold just before does not
+// say so until the target's next heartbeat.
+TEST(ColdTargetFloodFailure, VmsThatHaveJustStartedKeepToTheRate)
+{
+    Fleet fleet({ 4, 4 }, makePolicy());
+    fleet.run(seconds(4), requestsPerSecond);
+    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
+        fleet.start(vm);
+    const auto startedAt = fleet.now;
+    const auto untilHeartbeat = makeSettings().targetHeartbeat;
+    fleet.run(untilHeartbeat, requestsPerSecond);
+    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
+        fleet.raise(vm, TargetChanged { makeColdTarget("t1") });
+    fleet.run(coldTime - untilHeartbeat, requestsPerSecond);
+    EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", startedAt)), allowedRequests());
+}
+
+// Guards against a flood of a cold target in a region without VMs, to which every VM of the other regions may send.
+TEST(ColdTargetFloodFailure, TargetInARegionWithoutVmsKeepsItsRate)
+{
+    Fleet fleet({ 4, 4 }, makePolicy());
+    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
+        fleet.raise(vm, TargetsListed { { makeTarget("t1", "south") } });
+    fleet.run(seconds(4), requestsPerSecond);
+    const auto turnedColdAt = fleet.now;
+    auto record = makeTarget("t1", "south");
+    record.coldRemaining = coldTime;
+    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
+        fleet.raise(vm, TargetChanged { record });
+    fleet.run(coldTime, requestsPerSecond);
+    EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", turnedColdAt)), allowedRequests());
+    EXPECT_GT(largestSecond(fleet, "t1", turnedColdAt), 0U);
+}
+
+} // namespace arbutuscrank::entry::test
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -43,6 +43,7 @@
 
     void start(const VmId& vm)
     {
+        m_withoutStore.erase(vm);
         auto record = recordOf(vm);
         record.process.incarnation = ++m_incarnations;
         EntrySettings settings;
@@ -69,6 +70,19 @@
 
     void setLossRate(double lossRate) { m_lossRate = lossRate; }
 
+    /// Cuts a VM off from all other VMs: it neither sends nor receives datagrams.
+    void isolate(const VmId& vm) { m_isolated.insert(vm); }
+
+    /// Raises an event at one VM.
+    void raise(const VmId& vm, const EntryEvent& event) { handle(at(vm), event); }
+
+    /// Makes the store fail for a VM until it is started again.
+    void loseStore(const VmId& vm)
+    {
+        m_withoutStore.insert(vm);
+        raise(vm, StoreFailed {});
+    }
+
     /// Advances the clock. Requests of the account arrive at random VMs.
     void run(Duration duration, double requestsPerSecond = 0)
     {
@@ -97,6 +111,7 @@
 
     TimePoint now { std::chrono::hours(1) };
     std::vector<TimePoint> admissionTimes; ///< when requests were sent to a target
+    std::map<std::string, std::vector<TimePoint>> sendTimes; ///< the same by ID of the target
     std::map<std::uint32_t, std::size_t> refusalsByStatus;
     std::size_t requestCount = 0;
 
@@ -128,6 +143,7 @@
     {
         for (auto& [vm, entry] : m_entries) {
             handle(entry, PolicyConfirmed { now });
+            handle(entry, m_withoutStore.contains(vm) ? EntryEvent(StoreFailed {}) : EntryEvent(StoreAnswered {}));
             handle(entry, Tick {});
         }
     }
@@ -145,9 +161,10 @@
         const auto& vm = entry.members.self().process.vm;
         if (const auto* it = std::get_if<SendMessage>(&effect)) {
             for (const auto& address : it->addresses) {
-                if (!m_blockedSenders.contains(vm) && m_random.unit() >= m_lossRate)
-                    m_datagrams.push_back({ now + milliseconds(1 + static_cast<int>(m_random.below(30))),
-                        address.substr(0, address.find(':')), it->message });
+                const auto receiver = address.substr(0, address.find(':'));
+                if (!m_isolated.contains(vm) && !m_isolated.contains(receiver) && !m_blockedSenders.contains(vm) && m_random.unit() >= m_lossRate)
+                    m_datagrams.push_back(
+                        { now + milliseconds(1 + static_cast<int>(m_random.below(30))), receiver, it->message });
             }
         } else if (const auto* due = std::get_if<SetAdmissionTimer>(&effect)) {
             m_admissionTimers[{ vm, due->request }] = due->at;
@@ -155,6 +172,7 @@
             ++refusalsByStatus[own->status];
         } else if (const auto* sent = std::get_if<SendAttempt>(&effect)) {
             admissionTimes.push_back(now);
+            sendTimes[sent->target].push_back(now);
             // Targets answer immediately, because these tests do not cover their slots.
             m_answers.push_back({ vm, { .request = sent->request, .attempt = sent->attempt, .status = 200 } });
         }
@@ -210,6 +228,8 @@
     std::vector<std::pair<VmId, AttemptAnswered>> m_answers;
     std::map<std::pair<VmId, RequestId>, TimePoint> m_admissionTimers;
     std::set<VmId> m_blockedSenders;
+    std::set<VmId> m_isolated;
+    std::set<VmId> m_withoutStore;
     double m_lossRate = 0;
     double m_dueRequests = 0;
     RequestId m_lastRequest = 0;
