Tell all VMs which targets are cold and which failure domains are evacuated

Cause: whether a target is cold was a belief of each VM by itself, read from the store. A VM that could not read the store sent to evacuated targets throughout and at full rate when they turned cold, although VMs that it could hear knew better. Class: a bound on the sum over all VMs that holds only while every VM reads the same state in time.

Change: reports and digests carry the time until targets are warm, as far as a VM learned it from the store itself, and the newest reading of the evacuations with the store's revision; news goes out early. A VM that reaches neither the store nor half of the VMs treats every target as cold, so that it sends no more than its share. If no VM is registered in a target's region, two of all VMs share its rate; before, every VM took the full rate. The shares of a target's rate are a topic of their own (rate_shares). Message version 3.

Why it works: who may send follows from registrations, so VMs that hear nothing choose alike, and all others either know that the target is cold or treat it as such.

Not mended: after a restart of all VMs right at the end of an evacuation no VM remembers it.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -51,6 +51,7 @@
     TargetDrained = 505,
     EvacuationApplied = 506,
     TargetCold = 507,
+    ColdnessUnknown = 508,
     // 6xx: requests
     RequestRefused = 600,
     RequestOutcomeUnknown = 601,
--- a/include/arbutuscrank/entry.hpp
+++ b/include/arbutuscrank/entry.hpp
@@ -9,6 +9,8 @@
 #include <arbutuscrank/entry/fleet_messages.hpp>
 #include <arbutuscrank/entry/members.hpp>
 #include <arbutuscrank/entry/quota_sharing.hpp>
+#include <arbutuscrank/entry/rate_shares.hpp>
+#include <arbutuscrank/entry/rendezvous.hpp>
 #include <arbutuscrank/entry/retry_limit.hpp>
 #include <arbutuscrank/entry/settings.hpp>
 #include <arbutuscrank/entry/state.hpp>
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -110,9 +110,9 @@
     ObjectVersion revision = 0; ///< the store's revision of the removal; 0 if unknown
 };
 
-/// \brief The set of evacuated failure domains changed. Their targets receive no requests.
+/// \brief The set of evacuated failure domains was read. Their targets receive no requests.
 struct EvacuationsChanged {
-    std::set<std::string> failureDomains;
+    EvacuationReading reading;
 };
 
 /// \brief The complete list of registered VMs, as one read of the store returned it.
--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,17 @@
 using ServiceDemands = std::map<std::string, double, std::less<>>; ///< admitted requests per second by service name
 using InFlightCounts = std::map<std::uint32_t, std::uint32_t>; ///< in-flight attempts by Target::reportKey()
 
+/// \brief Time until cold targets are warm, by Target::reportKey(). VMs report only what they learned from the store,
+/// not what others report, because each relay would prolong the time.
+using ColdTimes = std::map<std::uint32_t, Duration>;
+
+/// \brief Evacuated failure domains as of a revision of the store. VMs that cannot read the store adopt newer readings
+/// of others.
+struct EvacuationReading {
+    std::uint64_t revision = 0; ///< 0 if the store has not been read
+    std::set<std::string> failureDomains;
+};
+
 /// \brief Availability of a VM to callers.
 struct VmStatus {
     VmId vm;
@@ -47,6 +59,8 @@
     Duration storeUptime {}; ///< time since the store's first answer after its last failure; zero while it fails
     ServiceDemands demand;
     InFlightCounts inFlight;
+    ColdTimes coldTargets;
+    EvacuationReading evacuations;
 };
 
 /// \brief Identifies a report of a coordinator.
@@ -69,6 +83,8 @@
     AccountUsages accounts; ///< admitted by this coordinator
     ServiceDemands demand; ///< sum over the domain
     InFlightCounts inFlight; ///< sum over the domain
+    ColdTimes coldTargets; ///< maximum over the domain
+    EvacuationReading evacuations; ///< newest one of the domain
 };
 
 /// \brief State of the fleet that a coordinator sends to the VMs of its failure domain. It also serves as the
@@ -81,6 +97,8 @@
     std::vector<VmStatus> vms; ///< all VMs of the fleet whose reports are recent
     std::map<std::string, ServiceDemands> demandByRegion;
     InFlightCounts inFlight; ///< sum over the fleet
+    ColdTimes coldTargets; ///< maximum over the fleet
+    EvacuationReading evacuations; ///< newest one of the fleet
     std::vector<DomainReport> domains; ///< account usage only; sent only to the standby coordinator
 };
 
--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -71,6 +71,9 @@
     [[nodiscard]] static bool isResponsive(
         const Member& member, TimePoint now, Duration maxAge = livenessTimeout) noexcept;
 
+    /// \brief Whether fewer than half of the registered VMs, including this one, are responsive.
+    [[nodiscard]] bool isMinority(TimePoint now) const;
+
     [[nodiscard]] const std::map<VmId, Member>& others() const noexcept { return m_members; }
     /// \brief Number of registered VMs, including this one.
     [[nodiscard]] std::size_t fleetSize() const noexcept { return m_members.size() + 1; }
@@ -78,6 +81,8 @@
     [[nodiscard]] static std::uint64_t hashOf(const VmId& vm) noexcept;
     /// \brief Hashes of the registered VMs of a region, including this one, in no particular order.
     [[nodiscard]] std::span<const std::uint64_t> vmHashesOfRegion(std::string_view region) const;
+    /// \brief Hashes of all registered VMs, including this one, in no particular order.
+    [[nodiscard]] std::span<const std::uint64_t> vmHashes() const noexcept { return m_vmHashes; }
     /// \brief Changes whenever the VMs of a region change; never 0.
     [[nodiscard]] std::uint64_t regionsVersion() const noexcept { return m_regionsVersion; }
 
@@ -88,6 +93,7 @@
 
     MemberRecord m_self;
     std::map<VmId, Member> m_members;
+    std::vector<std::uint64_t> m_vmHashes;
     std::map<std::string, std::vector<std::uint64_t>, std::less<>> m_vmHashesByRegion;
     std::uint64_t m_regionsVersion = 0;
 };
--- a/include/arbutuscrank/entry/settings.hpp
+++ b/include/arbutuscrank/entry/settings.hpp
@@ -45,7 +45,6 @@
     std::string storeAddress; ///< "ip:port" of the store
     double capacity = 0; ///< processor cores available to this VM; determines its rank as coordinator
     std::uint64_t memoryBytes = 256U << 20U; ///< memory available to the process
-    Duration targetHeartbeat = std::chrono::milliseconds(1500); ///< interval at which targets write their entries
     std::map<std::string, std::string> regionOfFailureDomain;
     Bounds bounds;
     std::string logLevel = "info";
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -80,6 +80,7 @@
     Random random;
     PolicyIndex policy;
     TargetTable targets;
+    EvacuationReading evacuations; ///< newest reading of this VM or of another one
     TargetSelection selection;
     QuotaSharing quota;
     RetryLimit retryLimit;
@@ -96,7 +97,7 @@
     std::map<std::string, std::vector<double>> serviceCredits;
     AttemptId lastAttemptId = 0;
     std::uint64_t messageSequence = 0;
-    std::optional<TimePoint> lastReportAt; ///< last report to the other coordinators
+    std::optional<TimePoint> lastReportAt; ///< last report to the other coordinators, or to the own one
     InFlightCounts reportedInFlight; ///< this VM's in-flight attempts as of its last report
     std::optional<TimePoint> lastTickAt;
     bool isStoreUnavailable = false;
--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <arbutuscrank/core/random.hpp>
-#include <arbutuscrank/entry/members.hpp>
 #include <arbutuscrank/entry/settings.hpp>
 #include <arbutuscrank/entry/targets.hpp>
 #include <arbutuscrank/entry/traffic_policy.hpp>
@@ -33,8 +32,8 @@
 /// \brief Why no target was chosen.
 enum class NoTargetReason {
     NoneInService, ///< no target of the service is in service, in an allowed region and not excluded
-    /// Targets are in service, but each one that was considered is unreachable, at its load limit, or cold and out of
-    /// tokens
+    /// Targets are in service, but each one that was considered is unreachable, at its load limit, or out of tokens
+    /// of its limited rate
     NoneAvailable,
 };
 
@@ -73,13 +72,6 @@
     void updateSplits(
         const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand, TimePoint now);
 
-    /// \brief Sets this VM's part of the request rate of each cold target. Which VMs share it is computed only for
-    /// targets that are new and after the VMs of a region have changed.
-    void updateColdShares(TargetTable& targets, const PolicyIndex& policy, const MemberTable& members, TimePoint now);
-
-    /// \brief Sets this VM's part of the request rate of one target, if it is cold.
-    void updateColdShare(Target& target, const PolicyIndex& policy, const MemberTable& members, TimePoint now);
-
     [[nodiscard]] const std::map<std::string, RegionSplit>& splits() const noexcept { return m_splits; }
 
 private:
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -43,8 +43,8 @@
 
 [[nodiscard]] std::string_view toString(Ejection ejection) noexcept;
 
-/// \brief The VMs that share the request rate of a cold target.
-struct ColdSenders {
+/// \brief The VMs that share the request rate of a target.
+struct RateSenders {
     std::uint64_t regionsVersion = 0; ///< \ref MemberTable::regionsVersion of the choice; 0 if not chosen yet
     std::size_t count = 1;
     bool includesSelf = false;
@@ -58,9 +58,12 @@
     std::uint32_t othersLoad = 0; ///< requests of other VMs according to the target's last load report
     std::optional<TimePoint> loadReportedAt; ///< arrival of that load report
     std::uint32_t othersInFlight = 0; ///< in-flight attempts of other VMs as last reported by them
-    std::optional<TimePoint> coldUntil;
-    ColdSenders coldSenders;
-    TokenBucket coldBucket; ///< this VM's part of the request rate that the target allows while cold
+    std::optional<TimePoint> coldUntil; ///< according to the store
+    /// The target was unreachable, or other VMs report that it is cold
+    std::optional<TimePoint> suspectedColdUntil;
+    RateSenders rateSenders;
+    bool isRateShared = false; ///< \ref rateBucket holds this VM's share of the rate that is in force
+    TokenBucket rateBucket; ///< this VM's share of the request rate that the target allows to all VMs together
     double failureShare = 0; ///< moving average of failures over finished attempts, 0 to 1
     double slowness = 1; ///< moving average of the duration divided by the route's typical duration
     std::uint32_t sampleCount = 0; ///< finished attempts in the averages
@@ -73,7 +76,9 @@
 
     /// \brief Short identifier of the target in reports between VMs.
     [[nodiscard]] std::uint32_t reportKey() const noexcept { return static_cast<std::uint32_t>(hash); }
-    [[nodiscard]] bool isCold(TimePoint now) const noexcept { return coldUntil && now < *coldUntil; }
+    /// \brief Time until the target is warm; zero if it is.
+    [[nodiscard]] Duration coldRemaining(TimePoint now) const noexcept;
+    [[nodiscard]] bool isCold(TimePoint now) const noexcept { return coldRemaining(now) > Duration::zero(); }
     /// \brief Estimated number of requests that run or wait at the target.
     [[nodiscard]] double load(TimePoint now) const noexcept;
 };
@@ -122,6 +127,17 @@
     /// \brief Whether a target may receive new requests: it is neither draining nor evacuated.
     [[nodiscard]] bool isInService(const Target& target) const noexcept;
 
+    /// \brief Sets whether targets may be cold without this VM's knowledge. Each is then treated as cold.
+    void setColdnessUnknown(bool isUnknown) noexcept { m_isColdnessUnknown = isUnknown; }
+    [[nodiscard]] bool isColdnessUnknown() const noexcept { return m_isColdnessUnknown; }
+
+    /// \brief Whether a target gets no more than a certain request rate from all VMs together, of which this VM has a
+    /// share.
+    [[nodiscard]] bool isRateLimited(const Target& target, TimePoint now) const noexcept
+    {
+        return m_isColdnessUnknown || target.isCold(now);
+    }
+
     /// \brief Whether the list has been read since the start of the process.
     [[nodiscard]] bool isLoaded() const noexcept { return m_isLoaded; }
 
@@ -132,6 +148,7 @@
     std::set<std::string> m_evacuated;
     bool m_isLoaded = false;
     bool m_isStoreUnavailable = false;
+    bool m_isColdnessUnknown = false;
     std::optional<TimePoint> m_outageEndedAt;
 };
 
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -77,6 +77,8 @@
         return "evacuation-applied";
     case LogEvent::TargetCold:
         return "target-cold";
+    case LogEvent::ColdnessUnknown:
+        return "coldness-unknown";
     case LogEvent::RequestRefused:
         return "request-refused";
     case LogEvent::RequestOutcomeUnknown:
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -92,8 +92,8 @@
         ++target.inFlight;
         if (choice.isTrial)
             target.isTrialInFlight = true;
-        if (target.isCold(now))
-            (void)target.coldBucket.trySpend(oneToken, now); // cannot fail: choose() has checked the bucket
+        if (state.targets.isRateLimited(target, now))
+            (void)target.rateBucket.trySpend(oneToken, now); // cannot fail: choose() has checked the bucket
         const auto attempt = ++state.lastAttemptId;
         request.attempts.emplace(attempt, Attempt { target.record.id, now, choice.isTrial });
         request.triedTargets.push_back(target.record.id);
@@ -281,7 +281,7 @@
                                                        : health::recordOutcome(*target, outcome, relative, now);
         if (changed)
             logEjection(*target, out);
-        logIfTurnedCold(*target, wasCold, "unreachable", now, out);
+        (void)logIfTurnedCold(*target, wasCold, "unreachable", now, out);
     }
     if (event.kind == Complete) {
         recordDuration(state, request, durationSeconds);
@@ -322,7 +322,7 @@
                                                       : false;
         if (changed)
             logEjection(*target, out);
-        logIfTurnedCold(*target, wasCold, "unreachable", now, out);
+        (void)logIfTurnedCold(*target, wasCold, "unreachable", now, out);
     }
     retryOrEndRequest(state, event.request, request, now, out);
 }
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -55,8 +55,11 @@
 {
     m_vmHashesByRegion.clear();
     m_vmHashesByRegion[m_self.region].push_back(hashOf(m_self.process.vm));
-    for (const auto& [vm, member] : m_members)
+    m_vmHashes = { hashOf(m_self.process.vm) };
+    for (const auto& [vm, member] : m_members) {
         m_vmHashesByRegion[member.record.region].push_back(hashOf(vm));
+        m_vmHashes.push_back(hashOf(vm));
+    }
     ++m_regionsVersion;
 }
 
@@ -135,6 +138,13 @@
     return member.lastSeenAt && now - *member.lastSeenAt < maxAge;
 }
 
+bool MemberTable::isMinority(TimePoint now) const
+{
+    const auto responsiveVms
+        = std::ranges::count_if(m_members, [&](const auto& item) { return isResponsive(item.second, now); });
+    return (static_cast<std::size_t>(responsiveVms) + 1) * 2 < fleetSize();
+}
+
 std::uint64_t MemberTable::hashOf(const VmId& vm) noexcept { return XXH64(vm.data(), vm.size(), 0); }
 
 std::span<const std::uint64_t> MemberTable::vmHashesOfRegion(std::string_view region) const
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -1,5 +1,7 @@
 #include "entry/reducers.hpp"
 
+#include <arbutuscrank/entry/rate_shares.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -60,6 +62,46 @@
         return out;
     }
 
+    ColdTimes ownColdTimes(const EntryState& state, TimePoint now)
+    {
+        ColdTimes out;
+        for (const auto& [id, target] : state.targets.all()) {
+            if (target.coldUntil && now < *target.coldUntil)
+                out[target.reportKey()] = *target.coldUntil - now;
+        }
+        return out;
+    }
+
+    /// Adds the times of a report that arrived at \p receivedAt.
+    void addColdTimes(ColdTimes& maxima, const ColdTimes& times, TimePoint receivedAt, TimePoint now)
+    {
+        for (const auto& [target, remaining] : times) {
+            if (const auto left = remaining - (now - receivedAt); left > Duration::zero())
+                maxima[target] = std::max(maxima[target], left);
+        }
+    }
+
+    /// Applies the cold times that another VM reports.
+    /// \returns whether a target has become cold that this VM took for warm
+    bool applyColdTimes(EntryState& state, const ColdTimes& times, TimePoint now, Effects& out)
+    {
+        bool haveTurnedCold = false;
+        if (times.empty())
+            return haveTurnedCold;
+        for (auto& [id, target] : state.targets.all()) {
+            const auto it = times.find(target.reportKey());
+            if (it == times.end())
+                continue;
+            const bool wasCold = target.isCold(now);
+            target.suspectedColdUntil = std::max(target.suspectedColdUntil.value_or(now), now + it->second);
+            if (!logIfTurnedCold(target, wasCold, "report", now, out))
+                continue;
+            updateRateShare(state.targets, target, state.policy, state.members, now);
+            haveTurnedCold = true;
+        }
+        return haveTurnedCold;
+    }
+
     ServiceDemands ownDemand(const EntryState& state)
     {
         ServiceDemands out;
@@ -111,6 +153,8 @@
             .vms = { ownStatus(state, now) },
             .demand = ownDemand(state),
             .inFlight = ownInFlight(state),
+            .coldTargets = ownColdTimes(state, now),
+            .evacuations = state.evacuations,
         };
         for (const auto& [name, domain] : state.domainReports.all()) {
             if (DomainReportTable::isFresh(domain, now))
@@ -121,6 +165,7 @@
             out.storeUptime = std::max(out.storeUptime, member.report->storeUptime);
             addValues(out.demand, member.report->demand);
             addValues(out.inFlight, member.report->inFlight);
+            addColdTimes(out.coldTargets, member.report->coldTargets, member.lastSeenAt.value_or(now), now);
         });
         return out;
     }
@@ -135,6 +180,8 @@
             .vms = own.vms,
             .demandByRegion = { { own.region, own.demand } },
             .inFlight = own.inFlight,
+            .coldTargets = own.coldTargets,
+            .evacuations = own.evacuations,
         };
         for (const auto& [name, domain] : state.domainReports.all()) {
             if (name == own.failureDomain || !DomainReportTable::isFresh(domain, now))
@@ -143,6 +190,7 @@
             out.vms.insert(out.vms.end(), domain.report.vms.begin(), domain.report.vms.end());
             addValues(out.demandByRegion[domain.report.region], domain.report.demand);
             addValues(out.inFlight, domain.report.inFlight);
+            addColdTimes(out.coldTargets, domain.report.coldTargets, domain.receivedAt, now);
         }
         return out;
     }
@@ -226,7 +274,10 @@
             .storeUptime = ownStoreUptime(state, now),
             .demand = ownDemand(state),
             .inFlight = state.reportedInFlight,
+            .coldTargets = ownColdTimes(state, now),
+            .evacuations = state.evacuations,
         };
+        state.lastReportAt = now;
         auto addresses = addressesOf(state, { state.coordination.followedCoordinator() });
         if (!addresses.empty())
             out.push_back(SendMessage { std::move(report), std::move(addresses) });
@@ -331,6 +382,15 @@
 
 } // namespace
 
+void updateColdnessKnowledge(EntryState& state, TimePoint now, Effects& out)
+{
+    const bool isUnknown = state.isStoreUnavailable && storeUptimeElsewhere(state, now) == Duration::zero()
+        && state.members.isMinority(now);
+    if (isUnknown != state.targets.isColdnessUnknown())
+        out.push_back(WriteLog { LogEvent::ColdnessUnknown, fmt::format("unknown={}", isUnknown) });
+    state.targets.setColdnessUnknown(isUnknown);
+}
+
 void updateCoordination(EntryState& state, TimePoint now, Effects& out)
 {
     if (!state.hasMemberList)
@@ -387,7 +447,9 @@
     if (!state.members.applyReport(event.report, now))
         return;
     state.coordination.recordReport(now);
-    if (changed && state.coordination.isCoordinator())
+    adoptEvacuations(state, event.report.evacuations, now, out);
+    const bool haveTurnedCold = applyColdTimes(state, event.report.coldTargets, now, out);
+    if ((changed || haveTurnedCold) && state.coordination.isCoordinator())
         sendEarlyReports(state, now, out);
 }
 
@@ -402,8 +464,10 @@
     for (const auto& status : report.vms)
         state.members.applyStatus(status, now);
     state.quota.applyReport(report, now);
+    adoptEvacuations(state, report.evacuations, now, out);
+    const bool haveTurnedCold = applyColdTimes(state, report.coldTargets, now, out);
     // A new coordinator admits nothing until its report is acknowledged, so the acknowledgement is sent early.
-    if (isNew && state.coordination.isCoordinator())
+    if ((isNew || haveTurnedCold) && state.coordination.isCoordinator())
         sendEarlyReports(state, now, out);
 }
 
@@ -418,6 +482,8 @@
         state.members.applyStatus(status, now);
     for (const auto& domain : digest.domains)
         state.quota.applyReport(domain, now);
+    adoptEvacuations(state, digest.evacuations, now, out);
+    (void)applyColdTimes(state, digest.coldTargets, now, out);
     state.fleetLoad = { digest.demandByRegion, digest.inFlight, digest.storeUptime, now };
 }
 
@@ -451,7 +517,8 @@
     state.quota.updateShares(otherDomains(state), now);
     updateOthersInFlight(state, now);
     state.selection.updateSplits(state.targets, demandByService(state, now), now);
-    state.selection.updateColdShares(state.targets, state.policy, state.members, now);
+    updateColdnessKnowledge(state, now, out);
+    updateRateShares(state.targets, state.policy, state.members, now);
     for (const auto& id : state.targets.removeExpired(now))
         out.push_back(WriteLog { LogEvent::TargetDrained, fmt::format("target={} cause=lapsed", id) });
     if (!state.refusesKeyedRequests && state.policyConfirmedAt && !isPolicyFresh(state, now)) {
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -1,9 +1,12 @@
 #include "entry/reducers.hpp"
 
+#include <arbutuscrank/entry/rate_shares.hpp>
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace arbutuscrank::entry {
 
@@ -31,13 +34,14 @@
 
 } // namespace
 
-void logIfTurnedCold(const Target& target, bool wasCold, std::string_view cause, TimePoint now, Effects& out)
+bool logIfTurnedCold(const Target& target, bool wasCold, std::string_view cause, TimePoint now, Effects& out)
 {
     if (wasCold || !target.isCold(now))
-        return;
+        return false;
     out.push_back(WriteLog { LogEvent::TargetCold,
         fmt::format("target={} remaining_ms={} cause={} revision={}", target.record.id,
-            (*target.coldUntil - now) / std::chrono::milliseconds(1), cause, target.record.revision) });
+            target.coldRemaining(now) / std::chrono::milliseconds(1), cause, target.record.revision) });
+    return true;
 }
 
 bool isReady(const EntryState& state) noexcept
@@ -93,9 +97,12 @@
         const auto* target = state.targets.find(id);
         stopUsingTarget(id, target ? "draining" : "removed", target ? target->record.revision : 0, out);
     }
+    bool haveTurnedCold = false;
     for (const auto& [id, target] : state.targets.all())
-        logIfTurnedCold(target, coldBefore.contains(id), "record", now, out);
-    state.selection.updateColdShares(state.targets, state.policy, state.members, now);
+        haveTurnedCold = logIfTurnedCold(target, coldBefore.contains(id), "record", now, out) || haveTurnedCold;
+    updateRateShares(state.targets, state.policy, state.members, now);
+    if (haveTurnedCold)
+        sendEarlyReports(state, now, out);
 }
 
 void apply(EntryState& state, const TargetChanged& event, TimePoint now, Effects& out)
@@ -105,8 +112,9 @@
     if (state.targets.applyRecord(event.record, now))
         stopUsingTarget(event.record.id, "draining", event.record.revision, out);
     if (auto* target = state.targets.find(event.record.id)) {
-        logIfTurnedCold(*target, wasCold, "record", now, out);
-        state.selection.updateColdShare(*target, state.policy, state.members, now);
+        updateRateShare(state.targets, *target, state.policy, state.members, now);
+        if (logIfTurnedCold(*target, wasCold, "record", now, out))
+            sendEarlyReports(state, now, out);
     }
 }
 
@@ -116,23 +124,36 @@
         stopUsingTarget(event.id, "removed", event.revision, out);
 }
 
-void apply(EntryState& state, const EvacuationsChanged& event, TimePoint now, Effects& out)
+void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out)
 {
-    const auto before = state.targets.evacuated();
+    if (reading.revision < state.evacuations.revision)
+        return;
+    const auto before = std::exchange(state.evacuations, reading).failureDomains;
+    const auto& evacuated = reading.failureDomains;
+    if (evacuated == before)
+        return;
+    bool haveTurnedCold = false;
     for (auto& [id, target] : state.targets.all()) {
         const auto& domain = target.record.failureDomain;
         const auto* service = state.policy.findService(target.record.service);
         // Targets may be cold when the evacuation of their failure domain ends, before the store reports it.
-        if (!service || !before.contains(domain) || event.failureDomains.contains(domain))
+        if (!service || !before.contains(domain) || evacuated.contains(domain))
             continue;
         const bool wasCold = target.isCold(now);
         target.coldUntil = std::max(target.coldUntil.value_or(now), now + service->coldTime);
-        logIfTurnedCold(target, wasCold, "evacuation", now, out);
+        haveTurnedCold = logIfTurnedCold(target, wasCold, "evacuation", now, out) || haveTurnedCold;
     }
-    state.targets.setEvacuated(event.failureDomains);
-    state.selection.updateColdShares(state.targets, state.policy, state.members, now);
-    out.push_back(WriteLog {
-        LogEvent::EvacuationApplied, fmt::format("failure_domains=\"{}\"", fmt::join(event.failureDomains, ",")) });
+    state.targets.setEvacuated(evacuated);
+    updateRateShares(state.targets, state.policy, state.members, now);
+    out.push_back(WriteLog { LogEvent::EvacuationApplied,
+        fmt::format("failure_domains=\"{}\" revision={}", fmt::join(evacuated, ","), reading.revision) });
+    if (haveTurnedCold)
+        sendEarlyReports(state, now, out);
+}
+
+void apply(EntryState& state, const EvacuationsChanged& event, TimePoint now, Effects& out)
+{
+    adoptEvacuations(state, event.reading, now, out);
 }
 
 void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects& out)
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -38,7 +38,14 @@
 
 /// \brief Logs that a target has become cold, unless it was cold before.
 /// \param cause how this VM learned of it, as in docs/log-events.md
-void logIfTurnedCold(const Target& target, bool wasCold, std::string_view cause, TimePoint now, Effects& out);
+/// \returns whether it has
+bool logIfTurnedCold(const Target& target, bool wasCold, std::string_view cause, TimePoint now, Effects& out);
+
+/// \brief Applies a reading of the evacuated failure domains unless a newer one has been applied.
+void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out);
+
+/// \brief Updates whether targets may be cold without this VM's knowledge, and logs a change.
+void updateColdnessKnowledge(EntryState& state, TimePoint now, Effects& out);
 
 /// \brief Repeats the election of the failure domain's coordinator.
 void updateCoordination(EntryState& state, TimePoint now, Effects& out);
@@ -47,8 +54,7 @@
 /// the VMs of its failure domain.
 void sendReports(EntryState& state, TimePoint now, Effects& out);
 
-/// \brief As coordinator, sends reports ahead of the regular interval, unless the last report to the other coordinators
-/// is less than 50 ms old.
+/// \brief Sends reports ahead of the regular interval, unless the last report is less than 50 ms old.
 void sendEarlyReports(EntryState& state, TimePoint now, Effects& out);
 
 /// \brief Longest uptime of the store as last reported by the other VMs. If this VM is not the coordinator, its own
--- a/src/entry/target_health.cpp
+++ b/src/entry/target_health.cpp
@@ -73,7 +73,7 @@
 bool recordUnreachable(Target& target, const Duration& coldTime, TimePoint now)
 {
     // An unreachable target may return under the same ID with empty caches before the store reports it as cold.
-    target.coldUntil = std::max(target.coldUntil.value_or(now), now + coldTime + maxEjection);
+    target.suspectedColdUntil = std::max(target.suspectedColdUntil.value_or(now), now + coldTime + maxEjection);
     return eject(target, Ejection::Unreachable, now);
 }
 
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -1,5 +1,6 @@
 #include <arbutuscrank/entry/target_selection.hpp>
 
+#include <arbutuscrank/entry/rendezvous.hpp>
 #include <arbutuscrank/entry/target_health.hpp>
 
 #include <xxhash.h>
@@ -31,12 +32,6 @@
     constexpr double minSpareFraction = 0.02;
     /// Hash seed that decides whether an affinity value stays in its region.
     constexpr std::uint64_t localityHashSeed = 2;
-    /// Number of VMs that send to a cold target. Its rate of a few requests per second is too small to be shared by all
-    /// VMs.
-    constexpr std::size_t maxColdSenders = 2;
-    /// Burst of requests that a VM may send to a cold target.
-    constexpr double coldBurstRequests = 2;
-
     bool isListed(const std::vector<std::string>* list, const std::string& name)
     {
         return list && std::ranges::find(*list, name) != list->end();
@@ -47,8 +42,6 @@
         return !regions || regions->empty() || isListed(regions, region);
     }
 
-    std::uint64_t mixHashes(std::uint64_t a, std::uint64_t b) { return Random(a ^ (b * 0x9e3779b97f4a7c15ULL)).next(); }
-
     /// Moves a split towards the desired one by at most \p step, measured as the fraction of affinity values that
     /// change their region.
     void stepTowards(std::map<std::string, double>& fractions, const std::map<std::string, double>& desired,
@@ -85,25 +78,9 @@
             / std::log(toUnitInterval(mixHashes(target.hash, affinityHash)));
     }
 
-    /// The first VMs of the target's region in rendezvous order, or this VM if the region has none.
-    ColdSenders chooseColdSenders(const Target& target, const MemberTable& members)
-    {
-        const auto vmHashes = members.vmHashesOfRegion(target.record.region);
-        ColdSenders out { .regionsVersion = members.regionsVersion(),
-            .count = std::clamp<std::size_t>(vmHashes.size(), 1, maxColdSenders),
-            .includesSelf = vmHashes.empty() };
-        if (members.self().region != target.record.region)
-            return out;
-        const auto own = mixHashes(target.hash, MemberTable::hashOf(members.self().process.vm));
-        const auto precedingVmCount = std::ranges::count_if(
-            vmHashes, [&](std::uint64_t vmHash) { return mixHashes(target.hash, vmHash) > own; });
-        out.includesSelf = static_cast<std::size_t>(precedingVmCount) < maxColdSenders;
-        return out;
-    }
-
-    bool hasColdToken(Target& target, TimePoint now)
+    bool hasRateToken(const TargetTable& targets, Target& target, TimePoint now)
     {
-        return !target.isCold(now) || target.coldBucket.level(now) >= oneToken;
+        return !targets.isRateLimited(target, now) || target.rateBucket.level(now) >= oneToken;
     }
 
 } // namespace
@@ -168,7 +145,7 @@
             || isListed(placement.excludedTargets, id) || !isAllowed(placement.routeRegions, m_region)
             || !isAllowed(placement.accountRegions, m_region))
             continue;
-        if (health::isHealthyOrDueForTrial(target, now) && hasColdToken(target, now))
+        if (health::isHealthyOrDueForTrial(target, now) && hasRateToken(targets, target, now))
             return &target;
     }
     return nullptr;
@@ -201,7 +178,7 @@
     const Candidate* best = nullptr;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& it = candidates[i];
-        if (!hasColdToken(*it.target, now))
+        if (!hasRateToken(targets, *it.target, now))
             continue;
         if (!placement.affinity.empty() && it.loadPerSlot < std::min(affinityLoad[i], placement.maxLoad))
             return { .target = it.target };
@@ -275,25 +252,4 @@
     return fractions;
 }
 
-void TargetSelection::updateColdShare(
-    Target& target, const PolicyIndex& policy, const MemberTable& members, TimePoint now)
-{
-    if (!target.isCold(now))
-        return;
-    if (target.coldSenders.regionsVersion != members.regionsVersion())
-        target.coldSenders = chooseColdSenders(target, members);
-    const auto* service = policy.findService(target.record.service);
-    const auto& senders = target.coldSenders;
-    const double rate = service && senders.includesSelf ? service->coldRate / static_cast<double>(senders.count) : 0;
-    const auto tokens = [](double n) { return static_cast<MicroTokens>(n * static_cast<double>(oneToken)); };
-    target.coldBucket.setShare(tokens(rate), tokens(senders.includesSelf ? coldBurstRequests : 0), now);
-}
-
-void TargetSelection::updateColdShares(
-    TargetTable& targets, const PolicyIndex& policy, const MemberTable& members, TimePoint now)
-{
-    for (auto& [id, target] : targets.all())
-        updateColdShare(target, policy, members, now);
-}
-
 } // namespace arbutuscrank::entry
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -35,6 +35,11 @@
     return own + static_cast<double>(reported ? othersLoad : othersInFlight);
 }
 
+Duration Target::coldRemaining(TimePoint now) const noexcept
+{
+    return std::max({ Duration::zero(), coldUntil.value_or(now) - now, suspectedColdUntil.value_or(now) - now });
+}
+
 void TargetTable::setRecord(Target& target, const TargetRecord& record, TimePoint now)
 {
     const bool isRestarted = target.record.startedAtMs != record.startedAtMs || target.record.address != record.address;
@@ -46,9 +51,10 @@
         target.sampleCount = 0;
         target.loadReportedAt.reset();
         target.coldUntil.reset();
+        target.suspectedColdUntil.reset();
     }
     if (target.record.region != record.region)
-        target.coldSenders = {};
+        target.rateSenders = {};
     target.record = record;
     target.hash = XXH64(record.id.data(), record.id.size(), 0);
     target.isAwaitingRemoval = false;
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -51,6 +51,9 @@
     /// abandoned: its answer is ignored, and a store that sends one call at a time sends the list after it.
     void restartAfterBackoff();
 
+    /// \brief Revision of the store as of which the objects have been read; 0 before the first read.
+    [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
+
 private:
     void list(const std::string& after);
     void watch();
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -361,7 +361,7 @@
         m_evacuations.clear();
         for (const auto& object : objects)
             m_evacuations.insert(object.name);
-        dispatch(entry::EvacuationsChanged { m_evacuations });
+        dispatchEvacuations();
         return;
     case Collection::Members: {
         std::vector<entry::MemberRecord> records;
@@ -405,7 +405,7 @@
             m_evacuations.erase(object.name);
         else
             m_evacuations.insert(object.name);
-        dispatch(entry::EvacuationsChanged { m_evacuations });
+        dispatchEvacuations();
         return;
     case Collection::Members:
         if (change.isDeleted) {
@@ -424,6 +424,11 @@
     }
 }
 
+void EntryNode::dispatchEvacuations()
+{
+    dispatch(entry::EvacuationsChanged { { m_readers.at(Collection::Evacuations)->revision(), m_evacuations } });
+}
+
 void EntryNode::registerSelf(const StoreObject* registered)
 {
     const auto registration = encodeMember(m_state.members.self());
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -63,6 +63,7 @@
     CollectionReader::Handlers readerHandlers(Collection collection);
     void applyListing(Collection collection, const std::vector<StoreObject>& objects);
     void applyChange(Collection collection, const StoreChange& change);
+    void dispatchEvacuations();
     void applyPolicyObject(const StoreObject& object);
     [[nodiscard]] std::vector<entry::TargetRecord> decodeTargets(const std::vector<StoreObject>& objects);
     void handleReadFailure(Collection collection, const Error& error);
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -10,7 +10,7 @@
     using std::chrono::milliseconds;
 
     /// Raised with each change of a message that processes of an earlier version cannot decode.
-    constexpr int protocolVersion = 2;
+    constexpr int protocolVersion = 3;
 
     /// First element of a message. Numbers are never reused.
     enum class MessageKind : std::uint8_t {
@@ -81,6 +81,38 @@
         return out;
     }
 
+    Json encodeDuration(Duration duration) { return duration / milliseconds(1); }
+
+    Duration decodeDuration(const Json& json) { return milliseconds(json.get<std::int64_t>()); }
+
+    Json encodeColdTimes(const entry::ColdTimes& coldTargets)
+    {
+        auto out = Json::array();
+        for (const auto& [target, remaining] : coldTargets) {
+            out.push_back(target);
+            out.push_back(encodeDuration(remaining));
+        }
+        return out;
+    }
+
+    entry::ColdTimes decodeColdTimes(const Json& json)
+    {
+        entry::ColdTimes out;
+        for (std::size_t i = 0; i + 1 < json.size(); i += 2)
+            out[json.at(i).get<std::uint32_t>()] = decodeDuration(json.at(i + 1));
+        return out;
+    }
+
+    Json encodeEvacuations(const entry::EvacuationReading& reading)
+    {
+        return { reading.revision, reading.failureDomains };
+    }
+
+    entry::EvacuationReading decodeEvacuations(const Json& json)
+    {
+        return { json.at(0).get<std::uint64_t>(), json.at(1).get<std::set<std::string>>() };
+    }
+
     Json encodeAccounts(const entry::AccountUsages& accounts)
     {
         auto out = Json::array();
@@ -118,21 +150,19 @@
         return out;
     }
 
-    Json encodeDuration(Duration duration) { return duration / milliseconds(1); }
-
-    Duration decodeDuration(const Json& json) { return milliseconds(json.get<std::int64_t>()); }
-
     Json encode(const entry::VmReport& it)
     {
         return { MessageKind::VmReport, encodeProcess(it.process), it.sequence, it.ready, it.leaving,
-            encodeDuration(it.storeUptime), encodeDemand(it.demand), encodeInFlight(it.inFlight) };
+            encodeDuration(it.storeUptime), encodeDemand(it.demand), encodeInFlight(it.inFlight),
+            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations) };
     }
 
     Json encode(const entry::DomainReport& it)
     {
         return { MessageKind::DomainReport, encodeProcess(it.coordinator), it.sequence, it.failureDomain, it.region,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), encodeAccounts(it.accounts),
-            encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeReceivedReports(it.acknowledgedReports) };
+            encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeReceivedReports(it.acknowledgedReports),
+            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations) };
     }
 
     Json encode(const entry::Digest& it)
@@ -145,7 +175,7 @@
             domains.push_back(encode(domain));
         return { MessageKind::Digest, encodeProcess(it.coordinator), it.sequence, it.leaving,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), std::move(demand), encodeInFlight(it.inFlight),
-            std::move(domains) };
+            std::move(domains), encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations) };
     }
 
     Json encode(const entry::AdmissionRequest& it)
@@ -168,7 +198,9 @@
             .leaving = json.at(4).get<bool>(),
             .storeUptime = decodeDuration(json.at(5)),
             .demand = decodeDemand(json.at(6)),
-            .inFlight = decodeInFlight(json.at(7)) };
+            .inFlight = decodeInFlight(json.at(7)),
+            .coldTargets = decodeColdTimes(json.at(8)),
+            .evacuations = decodeEvacuations(json.at(9)) };
     }
 
     entry::DomainReport decodeDomainReport(const Json& json)
@@ -182,7 +214,9 @@
             .acknowledgedReports = decodeReceivedReports(json.at(10)),
             .accounts = decodeAccounts(json.at(7)),
             .demand = decodeDemand(json.at(8)),
-            .inFlight = decodeInFlight(json.at(9)) };
+            .inFlight = decodeInFlight(json.at(9)),
+            .coldTargets = decodeColdTimes(json.at(11)),
+            .evacuations = decodeEvacuations(json.at(12)) };
     }
 
     entry::Digest decodeDigest(const Json& json)
@@ -192,7 +226,9 @@
             .leaving = json.at(3).get<bool>(),
             .storeUptime = decodeDuration(json.at(4)),
             .vms = decodeStatuses(json.at(5)),
-            .inFlight = decodeInFlight(json.at(7)) };
+            .inFlight = decodeInFlight(json.at(7)),
+            .coldTargets = decodeColdTimes(json.at(9)),
+            .evacuations = decodeEvacuations(json.at(10)) };
         for (const auto& [region, services] : json.at(6).items())
             out.demandByRegion[region] = decodeDemand(services);
         for (const auto& domain : json.at(8))
--- a/tests/entry/cold_targets_failure_test.cpp
+++ b/tests/entry/cold_targets_failure_test.cpp
@@ -12,6 +12,8 @@
     constexpr double requestsPerSecond = 75;
     /// Time for which a target of the fleet's policy is cold.
     constexpr Duration coldTime = seconds(3);
+    /// Longest time until a target's entry in the store says that it is cold.
+    constexpr Duration untilHeartbeat = milliseconds(1500);
 
     TargetRecord makeColdTarget(const std::string& id)
     {
@@ -57,6 +59,28 @@
     EXPECT_GT(fleet.sendTimes["t1"].size(), 0U);
 }
 
+// Guards against requests from VMs that cannot read the store to targets that are evacuated, and so cold afterwards.
+TEST(ColdTargetFloodFailure, VmsThatCannotReadTheStoreLearnOfEvacuations)
+{
+    Fleet fleet({ 4, 4 }, makePolicy());
+    fleet.run(seconds(4), requestsPerSecond);
+    for (const auto* vm : { "a1", "a3", "a4", "b1", "b2", "b4" })
+        fleet.loseStore(vm);
+    const std::set<std::string> evacuated { makeTarget("t1").failureDomain };
+    fleet.raise("a2", EvacuationsChanged { { .revision = 7, .failureDomains = evacuated } });
+    fleet.run(seconds(1));
+    for (const auto* vm : { "a1", "b1", "b4" })
+        EXPECT_EQ(fleet.at(vm).targets.evacuated(), evacuated);
+    fleet.raise("a1", EvacuationsChanged { { .revision = 6, .failureDomains = {} } });
+    EXPECT_EQ(fleet.at("a1").targets.evacuated(), evacuated);
+    fleet.raise("a2", EvacuationsChanged { { .revision = 8, .failureDomains = {} } });
+    fleet.run(seconds(1));
+    for (const auto* vm : { "a1", "b1", "b4" }) {
+        EXPECT_TRUE(fleet.at(vm).targets.evacuated().empty());
+        EXPECT_TRUE(fleet.at(vm).targets.find("t1")->isCold(fleet.now));
+    }
+}
+
 // Guards against a flood from VMs that reach neither the store nor enough other VMs to learn that a target is cold.
 TEST(ColdTargetFloodFailure, IsolatedVmsKeepToTheRate)
 {
@@ -74,8 +98,8 @@
     EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", turnedColdAt)), allowedRequests());
 }
 
-// Guards against a flood after a restart of the whole fleet: the entry of a target that turned cold just before does not
-// say so until the target's next heartbeat.
+// Guards against a flood after a restart of the whole fleet: the entry of a target that turned cold just before does
+// not say so until the target's next heartbeat.
 TEST(ColdTargetFloodFailure, VmsThatHaveJustStartedKeepToTheRate)
 {
     Fleet fleet({ 4, 4 }, makePolicy());
@@ -83,7 +107,6 @@
     for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
         fleet.start(vm);
     const auto startedAt = fleet.now;
-    const auto untilHeartbeat = makeSettings().targetHeartbeat;
     fleet.run(untilHeartbeat, requestsPerSecond);
     for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
         fleet.raise(vm, TargetChanged { makeColdTarget("t1") });
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -162,7 +162,8 @@
         if (const auto* it = std::get_if<SendMessage>(&effect)) {
             for (const auto& address : it->addresses) {
                 const auto receiver = address.substr(0, address.find(':'));
-                if (!m_isolated.contains(vm) && !m_isolated.contains(receiver) && !m_blockedSenders.contains(vm) && m_random.unit() >= m_lossRate)
+                if (!m_isolated.contains(vm) && !m_isolated.contains(receiver) && !m_blockedSenders.contains(vm)
+                    && m_random.unit() >= m_lossRate)
                     m_datagrams.push_back(
                         { now + milliseconds(1 + static_cast<int>(m_random.below(30))), receiver, it->message });
             }
--- a/tests/entry/requests_failure_test.cpp
+++ b/tests/entry/requests_failure_test.cpp
@@ -165,7 +165,7 @@
         entry.handle(CallerDisconnected { id });
     }
     entry.effects.clear();
-    entry.handle(EvacuationsChanged { { "north-a" } });
+    entry.handle(EvacuationsChanged { { .revision = 1, .failureDomains = { "north-a" } } });
     entry.request("/read/1");
     EXPECT_EQ(entry.count<SendAttempt>(), 0U);
 }
--- a/tests/entry/targets_failure_test.cpp
+++ b/tests/entry/targets_failure_test.cpp
@@ -132,11 +132,11 @@
         record.coldRemaining = seconds(3);
         (void)targets.applySnapshot(std::vector { record }, start);
         for (auto now = start; now < start + seconds(3); now += milliseconds(10)) {
-            selection.updateColdShares(targets, policy, members, now);
+            updateRateShares(targets, policy, members, now);
             const auto choice = selection.choose(targets, { .service = "cart" }, now);
             if (!choice.target)
                 continue;
-            (void)choice.target->coldBucket.trySpend(oneToken, now);
+            (void)choice.target->rateBucket.trySpend(oneToken, now);
             sent.push_back(now);
         }
     }
