--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -60,6 +60,7 @@
     AttemptSent = 604,
     AttemptAnswered = 605,
     AttemptFailed = 606,
+    AnswerValueRefused = 607,
     // 7xx: steering
     PlanApplied = 700,
     ShiftStepped = 701,
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -52,6 +52,7 @@
     std::uint32_t status = 0;
     bool deliverable = false; ///< the answer may be forwarded unchanged
     std::optional<LoadReport> load;
+    RateLimitStatement rateLimit;
 };
 
 /// \brief How far an attempt got before it ended without an answer.
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -38,6 +38,20 @@
     std::uint32_t slots = 0;
 };
 
+/// \brief Greatest request rate that a target may name as its limit, in requests per second.
+inline constexpr double maxNamedRate = 1e6;
+
+/// \brief What an answer says of the request rate that its target takes from all VMs together.
+struct RateLimitStatement {
+    enum class Kind {
+        None, ///< the target is not limited
+        Limited, ///< the target takes \ref perSecond
+        Unreadable, ///< the value cannot be used, so nothing is known
+    };
+    Kind kind = Kind::None;
+    double perSecond = 0; ///< requests per second, from 0 to \ref maxNamedRate
+};
+
 /// \brief Why a target is ejected.
 enum class Ejection { None, Unreachable, Failing, Slow };
 
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -93,6 +93,8 @@
         return "attempt-answered";
     case LogEvent::AttemptFailed:
         return "attempt-failed";
+    case LogEvent::AnswerValueRefused:
+        return "answer-value-refused";
     case LogEvent::PlanApplied:
         return "plan-applied";
     case LogEvent::ShiftStepped:
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -268,8 +268,11 @@
         target->loadReportedAt = now;
     }
     out.push_back(WriteLog { LogEvent::AttemptAnswered,
-        fmt::format("request={} attempt={} target={} status={} taken_ms={:.0f}", request.callerRequestId, event.attempt,
-            attempt.target, event.status, durationSeconds * 1000) });
+        fmt::format("request={} attempt={} target={} status={} taken_ms={:.0f}{}", request.callerRequestId,
+            event.attempt, attempt.target, event.status, durationSeconds * 1000,
+            event.rateLimit.kind == RateLimitStatement::Kind::Limited
+                ? fmt::format(" rate_limit={}", event.rateLimit.perSecond)
+                : std::string()) });
     using enum AnswerKind;
     if (target) {
         const auto outcome = event.kind == Complete ? health::Outcome::Answered
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -34,6 +34,8 @@
     constexpr std::uint64_t answerMemoryDivisor = 4;
     /// Delay of the event loop from which it is logged.
     constexpr Duration loggedLoopDelay = milliseconds(250);
+    /// Part of a value from outside that is logged.
+    constexpr std::size_t maxLoggedValueBytes = 64;
     /// Delay before a failed accept is retried, so that a shortage of file descriptors does not cause a busy loop.
     constexpr Duration acceptRetryDelay = milliseconds(50);
 
@@ -86,7 +88,9 @@
     {
         using enum entry::AnswerKind;
         const auto status = result.answer.result_int();
-        entry::AttemptAnswered event { .request = request, .attempt = attempt, .status = status, .load = result.load };
+        entry::AttemptAnswered event {
+            .request = request, .attempt = attempt, .status = status, .load = result.load, .rateLimit = result.rateLimit
+        };
         if (status == 421)
             event.kind = Misdirected;
         else if (result.notRun)
@@ -198,6 +202,11 @@
         dispatch(entry::AttemptFailed { request, attempt, *result.failure, std::move(result.detail) });
         return;
     }
+    if (!result.refusedRateLimit.empty())
+        log(LogEvent::AnswerValueRefused,
+            fmt::format("attempt={} field={} found=\"{}\" limit=\"one number from 0 to {}\"", attempt,
+                m_platform.headers.rateLimit, result.refusedRateLimit.substr(0, maxLoggedValueBytes),
+                entry::maxNamedRate));
     const auto event = classifyAnswer(request, attempt, result);
     if (const auto it = m_pendingRequests.find(request); it != m_pendingRequests.end() && event.deliverable)
         it->second.answers.emplace(attempt, std::move(result.answer));
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -105,6 +105,7 @@
     std::string signature; ///< signature of the target on its answer; only its presence is checked
     std::string notRun; ///< set by a target that did not run the request
     std::string load; ///< load of the target: "running,waiting,slots"
+    std::string rateLimit; ///< requests per second that the target takes from all VMs together, while it is limited
 };
 
 /// \brief HTTP paths that this VM serves besides callers' requests.
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "node/clock.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace arbutuscrank::node {
@@ -34,6 +35,24 @@
         return entry::LoadReport { values[0], values[1], values[2] };
     }
 
+    /// Reads the limit that an answer states. Fields that are repeated must have equal values.
+    entry::RateLimitStatement parseRateLimit(const CallerAnswer& answer, const std::string& field)
+    {
+        using enum entry::RateLimitStatement::Kind;
+        const auto [first, last] = answer.equal_range(field);
+        if (first == last)
+            return {};
+        const auto text = first->value();
+        double perSecond = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), perSecond);
+        const bool isNumber = !text.empty() && ec == std::errc() && end == text.data() + text.size();
+        const bool areEqual = std::all_of(first, last, [&](const auto& it) { return it.value() == text; });
+        // The comparison also rejects NaN.
+        if (!isNumber || !areEqual || !(perSecond >= 0 && perSecond <= entry::maxNamedRate))
+            return { Unreadable, 0 };
+        return { Limited, perSecond };
+    }
+
 } // namespace
 
 TargetAttempt::TargetAttempt(
@@ -186,6 +205,9 @@
     result.hasSignature = result.answer.count(names.signature) != 0;
     if (const auto it = result.answer.find(names.load); it != result.answer.end())
         result.load = parseLoad({ it->value().data(), it->value().size() });
+    result.rateLimit = parseRateLimit(result.answer, names.rateLimit);
+    if (result.rateLimit.kind == entry::RateLimitStatement::Kind::Unreadable)
+        result.refusedRateLimit = std::string(result.answer[names.rateLimit]);
     if (isReusable)
         m_owner.storeIdle(m_parameters.target, m_socket, idleTimeout);
     finish(std::move(result));
--- a/src/node/target_connections.hpp
+++ b/src/node/target_connections.hpp
@@ -22,6 +22,8 @@
     bool notRun = false; ///< the target reports that it did not run the request
     bool hasSignature = false; ///< the answer has the signature header; the signature is not verified
     std::optional<entry::LoadReport> load;
+    entry::RateLimitStatement rateLimit;
+    std::string refusedRateLimit; ///< the value, if the answer states a limit that cannot be used
 };
 
 class TargetAttempt;
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -80,6 +80,26 @@
     }
 }
 
+// Guards against a limit that stops or floods a target because its value is not a usable number.
+TEST_F(TargetAnswersFailure, UnusableRateLimitsAreRefused)
+{
+    using enum entry::RateLimitStatement::Kind;
+    const std::vector<std::pair<std::string, entry::RateLimitStatement::Kind>> cases { { "", None },
+        { "Limit: 2.5\r\n", Limited }, { "Limit: 0\r\n", Limited }, { "Limit: 2.5\r\nLimit: 2.5\r\n", Limited },
+        { "Limit: -1\r\n", Unreadable }, { "Limit: nan\r\n", Unreadable }, { "Limit: inf\r\n", Unreadable },
+        { "Limit: 1e999\r\n", Unreadable }, { "Limit: 3 a second\r\n", Unreadable }, { "Limit:\r\n", Unreadable },
+        { "Limit: 2\r\nLimit: 3\r\n", Unreadable } };
+    for (const auto& [header, expected] : cases) {
+        const ScriptedServer server([&](Tcp::socket& socket, int) {
+            readRequest(socket);
+            writeText(socket, answer("r1", "own", header));
+        });
+        const auto result = send(server);
+        EXPECT_FALSE(result.failure) << header;
+        EXPECT_EQ(result.rateLimit.kind, expected) << header;
+    }
+}
+
 // Guards against an answer that names no request and that is passed on for a request to which it doesn't belong.
 TEST_F(TargetAnswersFailure, AnswerWithoutAnIdOnAKeptConnectionIsNotPassedOn)
 {
