Keep to the limits that targets name, over all VMs together

Cause: nothing acted on the limit. Evidence: answers log rate_limit while requests to the target go on at the rate of before; no request was a repetition of a refused one. Class: the same as that of the flooded cold targets, a rate that is bound in sum over all VMs.

Change: the newest answer to any VM decides. It ends the limit if it names none, and is disregarded after 60 s. VMs report what was answered to themselves, so that those that send nothing to the target learn of a limit and of its end. The limit is shared by the mechanism of cold targets, now by four VMs with a burst of one each: in 4 s the rate allows 4 r + 4, the rule 6 r + 5, so that one VM more, whose view of the members differs, is covered too. What a target refuses while it is limited does not count against its health. Requests that limited targets do not take go to other targets and regions; what they still take is used before requests queue elsewhere. Message version 4.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -52,6 +52,7 @@
     EvacuationApplied = 506,
     TargetCold = 507,
     ColdnessUnknown = 508,
+    TargetLimited = 509,
     // 6xx: requests
     RequestRefused = 600,
     RequestOutcomeUnknown = 601,
--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +34,15 @@
 /// not what others report, because each relay would prolong the time.
 using ColdTimes = std::map<std::uint32_t, Duration>;
 
+/// \brief Limit that a target named in its newest answer to the reporting VM, or that it no longer names one.
+struct NamedRateReport {
+    std::optional<double> perSecond;
+    Duration age {};
+};
+
+/// \brief Limits by Target::reportKey(). VMs report only what was answered to themselves.
+using NamedRates = std::map<std::uint32_t, NamedRateReport>;
+
 /// \brief Evacuated failure domains as of a revision of the store. VMs that cannot read the store adopt newer readings
 /// of others.
 struct EvacuationReading {
@@ -60,6 +70,7 @@
     ServiceDemands demand;
     InFlightCounts inFlight;
     ColdTimes coldTargets;
+    NamedRates namedRates;
     EvacuationReading evacuations;
 };
 
@@ -84,6 +95,7 @@
     ServiceDemands demand; ///< sum over the domain
     InFlightCounts inFlight; ///< sum over the domain
     ColdTimes coldTargets; ///< maximum over the domain
+    NamedRates namedRates; ///< newest ones of the domain
     EvacuationReading evacuations; ///< newest one of the domain
 };
 
@@ -98,6 +110,7 @@
     std::map<std::string, ServiceDemands> demandByRegion;
     InFlightCounts inFlight; ///< sum over the fleet
     ColdTimes coldTargets; ///< maximum over the fleet
+    NamedRates namedRates; ///< newest ones of the fleet
     EvacuationReading evacuations; ///< newest one of the fleet
     std::vector<DomainReport> domains; ///< account usage only; sent only to the standby coordinator
 };
--- a/include/arbutuscrank/entry/rate_shares.hpp
+++ b/include/arbutuscrank/entry/rate_shares.hpp
@@ -7,9 +7,10 @@
 /// \file
 /// \brief This VM's shares of the request rates that targets allow to all VMs together.
 ///
-/// A few VMs share the rate of a target, because it is too small to be divided among all of them. They are chosen by
-/// rendezvous hashing among the registered VMs of the target's region, or among all VMs if the region has none, so that
-/// VMs which cannot reach each other choose alike. Each sends at its share of the rate, and all other VMs send nothing.
+/// Targets limit their rate while they are cold, and when they name a limit in their answers. A few VMs share the rate
+/// of a target, because it is too small to be divided among all of them. They are chosen by rendezvous hashing among
+/// the registered VMs of the target's region, or among all VMs if the region has none, so that VMs which cannot reach
+/// each other choose alike. Each sends at its share of the rate, and all other VMs send nothing.
 
 namespace arbutuscrank::entry {
 
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -52,6 +52,15 @@
     double perSecond = 0; ///< requests per second, from 0 to \ref maxNamedRate
 };
 
+/// \brief The request rate that a target was known to take, from its newest answer.
+struct NamedRate {
+    /// Age from which it is disregarded, because the target or its limit may no longer exist.
+    static constexpr Duration maxAge = std::chrono::seconds(60);
+
+    std::optional<double> perSecond; ///< from all VMs together; std::nullopt if the target is not limited
+    TimePoint statedAt {}; ///< arrival of the answer
+};
+
 /// \brief Why a target is ejected.
 enum class Ejection { None, Unreachable, Failing, Slow };
 
@@ -75,6 +84,8 @@
     std::optional<TimePoint> coldUntil; ///< according to the store
     /// The target was unreachable, or other VMs report that it is cold
     std::optional<TimePoint> suspectedColdUntil;
+    std::optional<NamedRate> namedRate; ///< from answers to this VM; unset if no answer has named a limit
+    std::optional<NamedRate> reportedNamedRate; ///< from answers to other VMs
     RateSenders rateSenders;
     bool isRateShared = false; ///< \ref rateBucket holds this VM's share of the rate that is in force
     TokenBucket rateBucket; ///< this VM's share of the request rate that the target allows to all VMs together
@@ -93,6 +104,8 @@
     /// \brief Time until the target is warm; zero if it is.
     [[nodiscard]] Duration coldRemaining(TimePoint now) const noexcept;
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return coldRemaining(now) > Duration::zero(); }
+    /// \brief Limit that the target named in its newest answer to any VM; std::nullopt if there is none.
+    [[nodiscard]] std::optional<double> rateLimit(TimePoint now) const noexcept;
     /// \brief Estimated number of requests that run or wait at the target.
     [[nodiscard]] double load(TimePoint now) const noexcept;
 };
@@ -149,7 +162,7 @@
     /// share.
     [[nodiscard]] bool isRateLimited(const Target& target, TimePoint now) const noexcept
     {
-        return m_isColdnessUnknown || target.isCold(now);
+        return m_isColdnessUnknown || target.isCold(now) || target.rateLimit(now);
     }
 
     /// \brief Whether the list has been read since the start of the process.
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -79,6 +79,8 @@
         return "target-cold";
     case LogEvent::ColdnessUnknown:
         return "coldness-unknown";
+    case LogEvent::TargetLimited:
+        return "target-limited";
     case LogEvent::RequestRefused:
         return "request-refused";
     case LogEvent::RequestOutcomeUnknown:
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/admission.hpp"
 
+#include <arbutuscrank/entry/rate_shares.hpp>
 #include <arbutuscrank/entry/target_health.hpp>
 
 #include <fmt/format.h>
@@ -170,6 +171,24 @@
             refuseNotRun(state, id, request, "targets-refused", now, out);
     }
 
+    /// Records what an answer says of the target's limit.
+    void recordNamedRate(
+        EntryState& state, Target& target, const RateLimitStatement& statement, TimePoint now, Effects& out)
+    {
+        using enum RateLimitStatement::Kind;
+        const auto before = target.rateLimit(now);
+        // Without a limit, nothing has to be remembered unless one was known.
+        if (statement.kind == Unreadable || (statement.kind == None && !target.namedRate && !before))
+            return;
+        target.namedRate = NamedRate { .statedAt = now };
+        if (statement.kind == Limited)
+            target.namedRate->perSecond = statement.perSecond;
+        logIfLimitChanged(target, before, "answer", now, out);
+        updateRateShare(state.targets, target, state.policy, state.members, now);
+        if (before.has_value() != target.rateLimit(now).has_value())
+            sendEarlyReports(state, now, out);
+    }
+
     void recordDuration(EntryState& state, const Request& request, double durationSeconds)
     {
         auto& typicalSeconds = state.routeDurations[request.route].seconds;
@@ -186,6 +205,16 @@
 
 } // namespace
 
+void logIfLimitChanged(
+    const Target& target, std::optional<double> before, std::string_view cause, TimePoint now, Effects& out)
+{
+    const auto after = target.rateLimit(now);
+    if (before.has_value() != after.has_value())
+        out.push_back(WriteLog { LogEvent::TargetLimited,
+            fmt::format("target={} per_second={} cause={}", target.record.id,
+                after ? fmt::format("{}", *after) : std::string("unlimited"), cause) });
+}
+
 namespace attempts {
 
     void answerLocally(EntryState& state, RequestId id, const Request& request, std::uint32_t status,
@@ -280,8 +309,13 @@
                                                     : health::Outcome::Failed;
         const auto relative = event.kind == Complete ? relativeDuration(state, request, durationSeconds) : 0;
         const bool wasCold = target->isCold(now);
-        const bool changed = event.kind == Misdirected ? health::recordUnreachable(*target, Duration::zero(), now)
-                                                       : health::recordOutcome(*target, outcome, relative, now);
+        if (event.kind != Misdirected)
+            recordNamedRate(state, *target, event.rateLimit, now, out);
+        // A limited target that refuses what exceeds its limit is not overloaded.
+        const bool isWithinLimits = event.kind == NotRun && target->rateLimit(now);
+        const bool changed = isWithinLimits ? false
+            : event.kind == Misdirected     ? health::recordUnreachable(*target, Duration::zero(), now)
+                                            : health::recordOutcome(*target, outcome, relative, now);
         if (changed)
             logEjection(*target, out);
         (void)logIfTurnedCold(*target, wasCold, "unreachable", now, out);
--- a/src/entry/rate_shares.cpp
+++ b/src/entry/rate_shares.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /// Number of VMs that share the rate of a target, which is a few requests per second.
-    constexpr std::size_t maxSenders = 2;
+    constexpr std::size_t maxSenders = 4;
     /// Burst of requests that each of them may send.
     constexpr double burstRequests = 1;
 
@@ -29,10 +29,14 @@
     }
 
     /// Requests per second that a target allows to all VMs together.
-    double allowedRate(const Target& target, const PolicyIndex& policy)
+    double allowedRate(const TargetTable& targets, const Target& target, const PolicyIndex& policy, TimePoint now)
     {
         const auto* service = policy.findService(target.record.service);
-        return service ? service->coldRate : 0;
+        const double coldRate = service ? service->coldRate : 0;
+        const auto named = target.rateLimit(now);
+        if (!named)
+            return coldRate;
+        return targets.isColdnessUnknown() || target.isCold(now) ? std::min(coldRate, *named) : *named;
     }
 
     MicroTokens microTokens(double tokens) { return static_cast<MicroTokens>(tokens * static_cast<double>(oneToken)); }
@@ -52,7 +56,8 @@
     if (!std::exchange(target.isRateShared, true))
         target.rateBucket = {};
     const auto& senders = target.rateSenders;
-    const double rate = senders.includesSelf ? allowedRate(target, policy) / static_cast<double>(senders.count) : 0;
+    const double rate
+        = senders.includesSelf ? allowedRate(targets, target, policy, now) / static_cast<double>(senders.count) : 0;
     target.rateBucket.setShare(microTokens(rate), microTokens(senders.includesSelf ? burstRequests : 0), now);
 }
 
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -81,6 +81,54 @@
         }
     }
 
+    /// Age up to which the end of a limit is reported. Within this time it reaches all VMs.
+    constexpr Duration liftedRateMaxAge = std::chrono::seconds(10);
+
+    NamedRates ownNamedRates(const EntryState& state, TimePoint now)
+    {
+        NamedRates out;
+        for (const auto& [id, target] : state.targets.all()) {
+            if (!target.namedRate)
+                continue;
+            const auto age = now - target.namedRate->statedAt;
+            if (age < (target.namedRate->perSecond ? NamedRate::maxAge : liftedRateMaxAge))
+                out[target.reportKey()] = { target.namedRate->perSecond, age };
+        }
+        return out;
+    }
+
+    /// Adds the limits of a report that arrived at \p receivedAt, unless a newer one of the target is known.
+    void addNamedRates(NamedRates& newest, const NamedRates& rates, TimePoint receivedAt, TimePoint now)
+    {
+        for (const auto& [target, rate] : rates) {
+            const auto age = rate.age + (now - receivedAt);
+            const auto [it, isNew] = newest.try_emplace(target, NamedRateReport { rate.perSecond, age });
+            if (!isNew && age < it->second.age)
+                it->second = { rate.perSecond, age };
+        }
+    }
+
+    /// Applies the limits that targets named to other VMs.
+    /// \returns whether a target is limited that this VM took for unlimited
+    bool applyNamedRates(EntryState& state, const NamedRates& rates, TimePoint now, Effects& out)
+    {
+        bool haveTurnedLimited = false;
+        if (rates.empty())
+            return haveTurnedLimited;
+        for (auto& [id, target] : state.targets.all()) {
+            const auto it = rates.find(target.reportKey());
+            const auto statedAt = it == rates.end() ? TimePoint {} : now - it->second.age;
+            if (it == rates.end() || (target.reportedNamedRate && statedAt <= target.reportedNamedRate->statedAt))
+                continue;
+            const auto before = target.rateLimit(now);
+            target.reportedNamedRate = { it->second.perSecond, statedAt };
+            logIfLimitChanged(target, before, "report", now, out);
+            updateRateShare(state.targets, target, state.policy, state.members, now);
+            haveTurnedLimited = haveTurnedLimited || (!before && target.rateLimit(now));
+        }
+        return haveTurnedLimited;
+    }
+
     /// Applies the cold times that another VM reports.
     /// \returns whether a target has become cold that this VM took for warm
     bool applyColdTimes(EntryState& state, const ColdTimes& times, TimePoint now, Effects& out)
@@ -154,6 +202,7 @@
             .demand = ownDemand(state),
             .inFlight = ownInFlight(state),
             .coldTargets = ownColdTimes(state, now),
+            .namedRates = ownNamedRates(state, now),
             .evacuations = state.evacuations,
         };
         for (const auto& [name, domain] : state.domainReports.all()) {
@@ -166,6 +215,7 @@
             addValues(out.demand, member.report->demand);
             addValues(out.inFlight, member.report->inFlight);
             addColdTimes(out.coldTargets, member.report->coldTargets, member.lastSeenAt.value_or(now), now);
+            addNamedRates(out.namedRates, member.report->namedRates, member.lastSeenAt.value_or(now), now);
         });
         return out;
     }
@@ -181,6 +231,7 @@
             .demandByRegion = { { own.region, own.demand } },
             .inFlight = own.inFlight,
             .coldTargets = own.coldTargets,
+            .namedRates = own.namedRates,
             .evacuations = own.evacuations,
         };
         for (const auto& [name, domain] : state.domainReports.all()) {
@@ -191,6 +242,7 @@
             addValues(out.demandByRegion[domain.report.region], domain.report.demand);
             addValues(out.inFlight, domain.report.inFlight);
             addColdTimes(out.coldTargets, domain.report.coldTargets, domain.receivedAt, now);
+            addNamedRates(out.namedRates, domain.report.namedRates, domain.receivedAt, now);
         }
         return out;
     }
@@ -275,6 +327,7 @@
             .demand = ownDemand(state),
             .inFlight = state.reportedInFlight,
             .coldTargets = ownColdTimes(state, now),
+            .namedRates = ownNamedRates(state, now),
             .evacuations = state.evacuations,
         };
         state.lastReportAt = now;
@@ -449,7 +502,8 @@
     state.coordination.recordReport(now);
     adoptEvacuations(state, event.report.evacuations, now, out);
     const bool haveTurnedCold = applyColdTimes(state, event.report.coldTargets, now, out);
-    if ((changed || haveTurnedCold) && state.coordination.isCoordinator())
+    const bool haveTurnedLimited = applyNamedRates(state, event.report.namedRates, now, out);
+    if ((changed || haveTurnedCold || haveTurnedLimited) && state.coordination.isCoordinator())
         sendEarlyReports(state, now, out);
 }
 
@@ -466,8 +520,9 @@
     state.quota.applyReport(report, now);
     adoptEvacuations(state, report.evacuations, now, out);
     const bool haveTurnedCold = applyColdTimes(state, report.coldTargets, now, out);
+    const bool haveTurnedLimited = applyNamedRates(state, report.namedRates, now, out);
     // A new coordinator admits nothing until its report is acknowledged, so the acknowledgement is sent early.
-    if ((isNew || haveTurnedCold) && state.coordination.isCoordinator())
+    if ((isNew || haveTurnedCold || haveTurnedLimited) && state.coordination.isCoordinator())
         sendEarlyReports(state, now, out);
 }
 
@@ -484,6 +539,7 @@
         state.quota.applyReport(domain, now);
     adoptEvacuations(state, digest.evacuations, now, out);
     (void)applyColdTimes(state, digest.coldTargets, now, out);
+    (void)applyNamedRates(state, digest.namedRates, now, out);
     state.fleetLoad = { digest.demandByRegion, digest.inFlight, digest.storeUptime, now };
 }
 
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -41,6 +41,12 @@
 /// \returns whether it has
 bool logIfTurnedCold(const Target& target, bool wasCold, std::string_view cause, TimePoint now, Effects& out);
 
+/// \brief Logs that a target has become limited or unlimited.
+/// \param before its limit before the change
+/// \param cause how this VM learned of it, as in docs/log-events.md
+void logIfLimitChanged(
+    const Target& target, std::optional<double> before, std::string_view cause, TimePoint now, Effects& out);
+
 /// \brief Applies a reading of the evacuated failure domains unless a newer one has been applied.
 void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out);
 
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -167,10 +167,22 @@
             return !health::isHealthyOrDueForTrial(*it.target, now);
         return someHealthy && it.target->ejection != Ejection::None;
     });
+    // Requests that a limited target does not take go elsewhere, also to other regions, instead of being refused.
+    std::erase_if(candidates, [&](const Candidate& it) { return !hasRateToken(targets, *it.target, now); });
+    if (candidates.empty())
+        return { .reason = NoTargetReason::NoneAvailable };
     const auto region = chooseRegion(placement, affinityHash);
     std::ranges::sort(candidates, [](const auto& a, const auto& b) { return a.weight > b.weight; });
     if (std::ranges::any_of(candidates, [&](const auto& it) { return it.target->record.region == region; }))
         std::erase_if(candidates, [&](const auto& it) { return it.target->record.region != region; });
+    // What limited targets still take is used before requests queue at the others.
+    if (candidates.front().loadPerSlot >= 1) {
+        const auto limited = std::ranges::find_if(candidates, [&](const Candidate& it) {
+            return it.target->rateLimit(now) && !it.target->isCold(now) && it.loadPerSlot < 1;
+        });
+        if (limited != candidates.end())
+            return { .target = limited->target };
+    }
     // Affinity requests use only the first targets. A target that receives requests for all objects evicts each object
     // before it is requested again.
     if (!placement.affinity.empty() && candidates.size() > affinityLoad.size())
@@ -178,8 +190,6 @@
     const Candidate* best = nullptr;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& it = candidates[i];
-        if (!hasRateToken(targets, *it.target, now))
-            continue;
         if (!placement.affinity.empty() && it.loadPerSlot < std::min(affinityLoad[i], placement.maxLoad))
             return { .target = it.target };
         if (it.loadPerSlot < placement.maxLoad && (!best || it.loadPerSlot < best->loadPerSlot))
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -40,6 +40,14 @@
     return std::max({ Duration::zero(), coldUntil.value_or(now) - now, suspectedColdUntil.value_or(now) - now });
 }
 
+std::optional<double> Target::rateLimit(TimePoint now) const noexcept
+{
+    const auto* newest = namedRate ? &*namedRate : nullptr;
+    if (reportedNamedRate && (!newest || newest->statedAt < reportedNamedRate->statedAt))
+        newest = &*reportedNamedRate;
+    return newest && now - newest->statedAt < NamedRate::maxAge ? newest->perSecond : std::nullopt;
+}
+
 void TargetTable::setRecord(Target& target, const TargetRecord& record, TimePoint now)
 {
     const bool isRestarted = target.record.startedAtMs != record.startedAtMs || target.record.address != record.address;
@@ -52,6 +60,8 @@
         target.loadReportedAt.reset();
         target.coldUntil.reset();
         target.suspectedColdUntil.reset();
+        target.namedRate.reset();
+        target.reportedNamedRate.reset();
     }
     if (target.record.region != record.region)
         target.rateSenders = {};
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -693,6 +693,9 @@
     addMetric("gauge", "targets_known", m_state.targets.all().size());
     addMetric("gauge", "targets_cold",
         std::ranges::count_if(m_state.targets.all(), [&](const auto& item) { return item.second.isCold(now); }));
+    addMetric("gauge", "targets_limited", std::ranges::count_if(m_state.targets.all(), [&](const auto& item) {
+        return item.second.rateLimit(now).has_value();
+    }));
     addMetric("gauge", "members_known", m_state.members.fleetSize());
     addMetric("counter", "store_calls_total", m_store->platformCalls());
     addMetric("counter", "store_calls_failed_total", m_failedStoreCalls);
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -10,7 +10,7 @@
     using std::chrono::milliseconds;
 
     /// Raised with each change of a message that processes of an earlier version cannot decode.
-    constexpr int protocolVersion = 3;
+    constexpr int protocolVersion = 4;
 
     /// First element of a message. Numbers are never reused.
     enum class MessageKind : std::uint8_t {
@@ -103,6 +103,29 @@
         return out;
     }
 
+    Json encodeNamedRates(const entry::NamedRates& rates)
+    {
+        auto out = Json::array();
+        for (const auto& [target, report] : rates) {
+            out.push_back(target);
+            out.push_back(report.perSecond ? Json(static_cast<float>(*report.perSecond)) : Json());
+            out.push_back(encodeDuration(report.age));
+        }
+        return out;
+    }
+
+    entry::NamedRates decodeNamedRates(const Json& json)
+    {
+        entry::NamedRates out;
+        for (std::size_t i = 0; i + 2 < json.size(); i += 3) {
+            auto& report = out[json.at(i).get<std::uint32_t>()];
+            if (!json.at(i + 1).is_null())
+                report.perSecond = json.at(i + 1).get<double>();
+            report.age = decodeDuration(json.at(i + 2));
+        }
+        return out;
+    }
+
     Json encodeEvacuations(const entry::EvacuationReading& reading)
     {
         return { reading.revision, reading.failureDomains };
@@ -154,7 +177,7 @@
     {
         return { MessageKind::VmReport, encodeProcess(it.process), it.sequence, it.ready, it.leaving,
             encodeDuration(it.storeUptime), encodeDemand(it.demand), encodeInFlight(it.inFlight),
-            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations) };
+            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates) };
     }
 
     Json encode(const entry::DomainReport& it)
@@ -162,7 +185,7 @@
         return { MessageKind::DomainReport, encodeProcess(it.coordinator), it.sequence, it.failureDomain, it.region,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), encodeAccounts(it.accounts),
             encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeReceivedReports(it.acknowledgedReports),
-            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations) };
+            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates) };
     }
 
     Json encode(const entry::Digest& it)
@@ -175,7 +198,8 @@
             domains.push_back(encode(domain));
         return { MessageKind::Digest, encodeProcess(it.coordinator), it.sequence, it.leaving,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), std::move(demand), encodeInFlight(it.inFlight),
-            std::move(domains), encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations) };
+            std::move(domains), encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations),
+            encodeNamedRates(it.namedRates) };
     }
 
     Json encode(const entry::AdmissionRequest& it)
@@ -200,6 +224,7 @@
             .demand = decodeDemand(json.at(6)),
             .inFlight = decodeInFlight(json.at(7)),
             .coldTargets = decodeColdTimes(json.at(8)),
+            .namedRates = decodeNamedRates(json.at(10)),
             .evacuations = decodeEvacuations(json.at(9)) };
     }
 
@@ -216,6 +241,7 @@
             .demand = decodeDemand(json.at(8)),
             .inFlight = decodeInFlight(json.at(9)),
             .coldTargets = decodeColdTimes(json.at(11)),
+            .namedRates = decodeNamedRates(json.at(13)),
             .evacuations = decodeEvacuations(json.at(12)) };
     }
 
@@ -228,6 +254,7 @@
             .vms = decodeStatuses(json.at(5)),
             .inFlight = decodeInFlight(json.at(7)),
             .coldTargets = decodeColdTimes(json.at(9)),
+            .namedRates = decodeNamedRates(json.at(11)),
             .evacuations = decodeEvacuations(json.at(10)) };
         for (const auto& [region, services] : json.at(6).items())
             out.demandByRegion[region] = decodeDemand(services);
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -21,6 +21,7 @@
             { "draining", target.record.draining },
             { "lapsed", target.isAwaitingRemoval },
             { "cold", target.isCold(now) },
+            { "rateLimit", target.rateLimit(now) ? Json(*target.rateLimit(now)) : Json() },
             { "inFlight", target.inFlight },
             { "load", target.load(now) },
             { "ejection", entry::toString(target.ejection) },
