--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -403,11 +403,12 @@
             applyPolicyObject(object);
         return;
     case Collection::Targets:
-        if (change.isDeleted)
-            dispatch(entry::TargetRemoved { object.name, object.revision });
+        // An entry that can no longer be read names no target, as in a list.
+        if (auto records = change.isDeleted ? std::vector<entry::TargetRecord>() : decodeTargets({ object });
+            !records.empty())
+            dispatch(entry::TargetChanged { std::move(records.front()) });
         else
-            for (auto& record : decodeTargets({ object }))
-                dispatch(entry::TargetChanged { std::move(record) });
+            dispatch(entry::TargetRemoved { object.name, object.revision });
         return;
     case Collection::Evacuations:
         if (change.isDeleted)
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -1,5 +1,7 @@
 #include "node/message_codec.hpp"
 
+#include "node/json_text.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace arbutuscrank::node {
@@ -284,6 +286,40 @@
         return Error { ErrorCode::Protocol, "message.decode", {}, "message kind " + json.at(0).dump() + " is unknown" };
     }
 
+    /// Reads a message without storing it, and stops where it is nested too deep: reading one takes stack for each
+    /// level.
+    class NestingCheck : public nlohmann::json_sax<Json> {
+    public:
+        bool null() override { return true; }
+        bool boolean(bool /*value*/) override { return true; }
+        bool number_integer(number_integer_t /*value*/) override { return true; }
+        bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+        bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
+        bool string(string_t& /*value*/) override { return true; }
+        bool binary(binary_t& /*value*/) override { return false; }
+        bool key(string_t& /*value*/) override { return true; }
+        bool start_object(std::size_t /*elements*/) override { return ++m_depth <= maxJsonDepth; }
+        bool start_array(std::size_t /*elements*/) override { return ++m_depth <= maxJsonDepth; }
+        bool end_object() override { return leave(); }
+        bool end_array() override { return leave(); }
+        bool parse_error(std::size_t /*position*/, const std::string& /*token*/, const Json::exception& error) override
+        {
+            m_error = error.what();
+            return false;
+        }
+        [[nodiscard]] const std::string& error() const noexcept { return m_error; }
+
+    private:
+        bool leave()
+        {
+            --m_depth;
+            return true;
+        }
+
+        std::size_t m_depth = 0;
+        std::string m_error = "the message is nested too deep or contains binary data";
+    };
+
 } // namespace
 
 std::string encodeMessage(const entry::FleetMessage& message)
@@ -296,6 +332,9 @@
 Result<entry::FleetMessage> decodeMessage(std::string_view bytes)
 {
     try {
+        NestingCheck check;
+        if (!Json::sax_parse(bytes.begin(), bytes.end(), &check, Json::input_format_t::cbor))
+            return Error { ErrorCode::Protocol, "message.decode", {}, check.error() };
         const auto message = Json::from_cbor(bytes.begin(), bytes.end());
         const auto version = message.at(0).get<int>();
         if (version != protocolVersion)
