Take no request that cannot end before a stop does

Nothing here compared what a request may take with what was left of the grace, and a connection whose caller sent one request behind the other was read until the process ended.

Evidence, on the code before: RequestThatCannotEndInTimeIsRejectedAtOnce and RequestsThatAreStillRunningAreAnsweredBeforeTheProcessEnds fail; ReadsNoFurtherRequestLateInAStop fails if stopReading() does nothing.

Change: once a stopping VM accepts no more connections, it reads no further request from open ones; the answer to the last one closes the connection, and the caller sends later ones again elsewhere. Before that, a request that may need longer than is left (four times the usual time of its route, or its deadline if that is earlier or nothing is known) is rejected at once as not run. Requests in flight are answered 504 shortly before the process ends, and targets get that time as their deadline.

--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -110,6 +110,9 @@
 /// requires a recently confirmed configuration.
 [[nodiscard]] bool isReady(const EntryState& state) noexcept;
 
+/// \brief Time at which a VM that shuts down ends, even with requests in flight.
+[[nodiscard]] TimePoint stopEndsAt(const EntryState& state) noexcept;
+
 /// \brief Whether the configuration was confirmed recently enough to authenticate API keys.
 [[nodiscard]] bool isPolicyFresh(const EntryState& state, TimePoint now) noexcept;
 
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -21,6 +21,11 @@
     /// up to 3.3 times as long at a target that has to load the object first.
     constexpr double hedgeFactor = 4.0;
     constexpr Duration minHedgeDelay = milliseconds(250);
+    /// Multiple of the typical duration that a request may need: a target that has to load the object takes 3.3 times
+    /// as long, and the request may wait before.
+    constexpr double longDurationFactor = 4.0;
+    /// Time that the answer to a request takes to the caller before a VM that shuts down ends.
+    constexpr Duration stopAnswerTime = milliseconds(150);
     /// Minimum time until the deadline for a retry, as a multiple of the route's typical duration.
     constexpr double minRetryTimeFactor = 0.8;
     /// Timeout of connection setup. It covers one round trip between regions, also if the first packet is lost.
@@ -231,6 +236,21 @@
         finish(state, id, now, out);
     }
 
+    TimePoint limitToStop(const EntryState& state, TimePoint deadline) noexcept
+    {
+        return state.stopRequestedAt ? std::min(deadline, stopEndsAt(state) - stopAnswerTime) : deadline;
+    }
+
+    bool canEndBeforeStop(const EntryState& state, const Request& request, TimePoint now)
+    {
+        if (!state.stopRequestedAt)
+            return true;
+        const auto typical = std::chrono::duration_cast<Duration>(typicalDuration(state, request) * longDurationFactor);
+        const auto untilDeadline = request.deadline - now;
+        const auto needed = typical > Duration::zero() ? std::min(typical, untilDeadline) : untilDeadline;
+        return now + needed <= stopEndsAt(state) - stopAnswerTime;
+    }
+
     void start(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
     {
         ++state.serviceDemand[request.service].admittedSinceUpdate;
--- a/src/entry/attempts.hpp
+++ b/src/entry/attempts.hpp
@@ -22,6 +22,12 @@
 /// \brief Ends the request at its deadline.
 void expire(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out);
 
+/// \brief Deadline of a request at a VM that may be shutting down: the request is answered before the process ends.
+[[nodiscard]] TimePoint limitToStop(const EntryState& state, TimePoint deadline) noexcept;
+
+/// \brief Whether a new request is likely to end before a VM that shuts down does.
+[[nodiscard]] bool canEndBeforeStop(const EntryState& state, const Request& request, TimePoint now);
+
 /// \brief Cancels the in-flight attempts and removes the request.
 void finish(EntryState& state, RequestId id, TimePoint now, Effects& out);
 
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -1,5 +1,7 @@
 #include "entry/reducers.hpp"
 
+#include "entry/attempts.hpp"
+
 #include <arbutuscrank/entry/rate_shares.hpp>
 
 #include <fmt/format.h>
@@ -34,6 +36,8 @@
     /// Time after which an unresponsive VM counts as removed. Restarts and network partitions usually end sooner. A VM
     /// that was only partitioned registers again when it finds its registration removed.
     constexpr Duration removalTimeout = std::chrono::seconds(12);
+    /// A VM that shuts down ends this long before its grace period is over.
+    constexpr Duration stopMargin = milliseconds(350);
     /// Maximum age of the fleet load that the coordinator reported.
     constexpr Duration fleetLoadMaxAge = milliseconds(1300);
 
@@ -593,11 +597,21 @@
     reportAsCoordinator(state, now, !state.lastReportAt || now - *state.lastReportAt >= interval, out);
 }
 
+TimePoint stopEndsAt(const EntryState& state) noexcept
+{
+    return state.stopRequestedAt.value_or(TimePoint::max() - state.settings.bounds.stopGrace)
+        + state.settings.bounds.stopGrace - stopMargin;
+}
+
 void apply(EntryState& state, const StopRequested&, TimePoint now, Effects& out)
 {
     if (state.stopRequestedAt)
         return;
     state.stopRequestedAt = now;
+    for (auto& [id, request] : state.requests) {
+        request.deadline = attempts::limitToStop(state, request.deadline);
+        out.push_back(SetExpiryTimer { id, request.deadline });
+    }
     out.push_back(WriteLog { LogEvent::StopStarted, fmt::format("requests={}", state.requests.size()) });
     sendReports(state, now, out);
 }
--- a/src/entry/reduce_requests.cpp
+++ b/src/entry/reduce_requests.cpp
@@ -19,6 +19,9 @@
     /// deadline.
     constexpr Duration staleRetryAfter = std::chrono::milliseconds(1000);
 
+    /// Retry-After of a VM that shuts down. Other VMs serve the caller at once.
+    constexpr Duration stoppingRetryAfter = std::chrono::milliseconds(50);
+
     Request makeRequest(
         const RequestArrived& event, const RoutePolicy& route, const AccountPolicy* account, TimePoint now)
     {
@@ -104,6 +107,11 @@
         }
     }
     auto request = makeRequest(event, *route, account, now);
+    if (!attempts::canEndBeforeStop(state, request, now)) {
+        refuse(event, 503, "stopping", stoppingRetryAfter, fmt::format("version={}", version), out);
+        return;
+    }
+    request.deadline = attempts::limitToStop(state, request.deadline);
     request.service = chooseService(state, *route);
     auto& stored = state.requests.emplace(event.request, std::move(request)).first->second;
     out.push_back(SetExpiryTimer { event.request, stored.deadline });
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -96,6 +96,10 @@
                         return;
                     self->m_isReading = false;
                     self->m_timer.cancel();
+                    if (self->m_hasReadLastRequest) {
+                        self->watchForDisconnect();
+                        return;
+                    }
                     self->acceptRequest(*self->m_parser);
                     self->waitForRequest();
                 });
@@ -110,17 +114,22 @@
     if (!request->keep_alive())
         m_hasReadLastRequest = true;
     m_handlers.onRequest(id, std::move(request), shared_from_this());
-    if (m_hasReadLastRequest && !m_isClosed) {
-        // No further request is read, but the session still has to notice that the caller disconnects.
-        m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](SystemError ec) {
-            if (!ec && !self->m_isClosed && !self->m_pendingAnswers.empty()) {
-                char byte = 0;
-                const auto n = self->m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
-                if (ec || n == 0)
-                    self->closeAndReportUnanswered();
-            }
-        });
-    }
+    if (m_hasReadLastRequest)
+        watchForDisconnect();
+}
+
+void CallerSession::watchForDisconnect()
+{
+    if (m_isClosed)
+        return;
+    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](SystemError ec) {
+        if (ec || self->m_isClosed || self->m_pendingAnswers.empty())
+            return;
+        char byte = 0;
+        const auto n = self->m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+        if (ec || n == 0)
+            self->closeAndReportUnanswered();
+    });
 }
 
 void CallerSession::handleReadError(SystemError ec)
@@ -203,6 +212,8 @@
     return ::poll(&state, 1, 0) > 0;
 }
 
+void CallerSession::stopReading() { m_hasReadLastRequest = true; }
+
 void CallerSession::closeIfNoneUnanswered()
 {
     if (hasNoUnansweredRequest())
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -45,6 +45,10 @@
     /// \brief Answers a request. Answers are written in the order of the requests, so an early answer is held back.
     void answer(RequestId request, CallerAnswer answer);
 
+    /// \brief Reads no further request. The connection closes after the answer to the last request that was read, so
+    /// that the caller sends later ones again.
+    void stopReading();
+
     /// \brief Closes the connection if no request that was read completely is unanswered and no answer is being
     /// written. A request that is still being read is dropped.
     void closeIfNoneUnanswered();
@@ -65,6 +69,8 @@
 
     void waitForRequest();
     void readRequest();
+    /// Notices that the caller disconnects while no further request is read.
+    void watchForDisconnect();
     void acceptRequest(http::request_parser<http::string_body>& parser);
     void handleReadError(SystemError ec);
     void writeNext();
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -24,8 +24,6 @@
     /// Time after a stop request for which connections are accepted. Callers cache the answer of a look-up for up to
     /// three times its lifetime of one second, so they may connect for that long.
     constexpr Duration listenTimeAfterStop = milliseconds(3200);
-    /// The process ends this long before the stop's grace period is over, even with requests in flight.
-    constexpr Duration stopMargin = milliseconds(350);
     /// Time for which a VM reads the store directly after its coordinator's feed has failed.
     constexpr Duration directReadTime = std::chrono::seconds(4);
     /// Time for which a starting VM retries an unreachable feed, because its coordinator may be starting too.
@@ -491,12 +489,14 @@
         SystemError ec;
         m_acceptor->close(ec); // the acceptor is discarded, so an error has no effect
         for (const auto& weak : m_sessions) {
-            if (const auto session = weak.lock())
+            if (const auto session = weak.lock()) {
+                session->stopReading();
                 session->closeIfNoneUnanswered();
+            }
         }
     }
     const bool isIdle = m_hasStoppedListening && m_pendingRequests.empty();
-    const bool isOver = elapsed >= m_state.settings.bounds.stopGrace - stopMargin;
+    const bool isOver = currentTime() >= stopEndsAt(m_state);
     if (!isIdle && !isOver)
         return;
     log(isIdle ? LogEvent::StopCompleted : LogEvent::StopForced, fmt::format("requests={}", m_pendingRequests.size()));
--- a/src/node/json_text.hpp
+++ b/src/node/json_text.hpp
@@ -12,7 +12,8 @@
 
 namespace arbutuscrank::node {
 
-/// \brief Greatest depth of nested objects and arrays in a value. Deeper values exhaust the stack when they are written.
+/// \brief Greatest depth of nested objects and arrays in a value. Deeper values exhaust the stack when they are
+/// written.
 inline constexpr std::size_t maxJsonDepth = 64;
 
 using JsonMember = std::pair<std::string_view, std::string_view>; ///< name without quotes, text of the value
--- a/tests/adapter/odd_entries_failure_test.cpp
+++ b/tests/adapter/odd_entries_failure_test.cpp
@@ -65,8 +65,8 @@
 TEST(OddEntryFailure, OneUnreadableEntryInAListCostsNoOther)
 {
     for (const auto& body : oddBodies()) {
-        const auto listing = decodeListing(R"({"items":[)" + item("odd", body) + "," + item("good", goodBody)
-            + R"(],"hasMore":false,"at":9})");
+        const auto listing = decodeListing(
+            R"({"items":[)" + item("odd", body) + "," + item("good", goodBody) + R"(],"hasMore":false,"at":9})");
         ASSERT_TRUE(listing) << shorten(body);
         expectOnlySecondReadable(listing.value().objects, body);
     }
--- a/tests/entry/requests_failure_test.cpp
+++ b/tests/entry/requests_failure_test.cpp
@@ -180,4 +180,45 @@
     EXPECT_FALSE(isReady(entry.state));
 }
 
+// Guards against a request that is taken late in a planned stop and cut off when the process ends.
+TEST(LateInStopFailure, RequestThatCannotEndInTimeIsRejectedAtOnce)
+{
+    for (const auto* path : { "/read/1", "/write/1" }) {
+        Entry entry;
+        entry.useTargets({ makeTarget("t1") });
+        entry.handle(StopRequested {});
+        entry.advance(seconds(1));
+        entry.request(path);
+        EXPECT_TRUE(entry.last<SendAttempt>()) << path;
+        entry.advance(seconds(4));
+        entry.request(path);
+        EXPECT_FALSE(entry.last<SendAttempt>()) << path;
+        const auto answer = entry.last<SendLocalAnswer>();
+        ASSERT_TRUE(answer) << path;
+        EXPECT_EQ(answer->status, 503U);
+        EXPECT_GT(answer->retryAfter, Duration::zero());
+    }
+}
+
+// Guards against a connection that ends without an answer when a stop ends before the deadline of a request.
+TEST(LateInStopFailure, RequestsThatAreStillRunningAreAnsweredBeforeTheProcessEnds)
+{
+    auto policy = makePolicy();
+    for (auto& route : policy.routes)
+        route.timeout = seconds(20);
+    Entry entry(1, policy);
+    entry.useTargets({ makeTarget("t1"), makeTarget("t2") });
+    const auto id = entry.request("/write/1", key, seconds(20));
+    entry.handle(StopRequested {});
+    const auto timer = entry.last<SetExpiryTimer>();
+    ASSERT_TRUE(timer);
+    EXPECT_EQ(timer->request, id);
+    EXPECT_LT(timer->at, entry.now + entry.state.settings.bounds.stopGrace);
+    entry.now = timer->at;
+    entry.handle(RequestExpired { id });
+    const auto answer = entry.last<SendLocalAnswer>();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 504U);
+}
+
 } // namespace arbutuscrank::entry::test
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -168,4 +168,22 @@
     EXPECT_TRUE(receivedRequests.empty());
 }
 
+// Guards against a request that is read late in a planned stop and cut off when the process ends.
+TEST_F(CallerSessionFailure, ReadsNoFurtherRequestLateInAStop)
+{
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    isStopping = true;
+    session->stopReading();
+    writeText(caller, get("/2"));
+    context.run_for(std::chrono::milliseconds(50));
+    EXPECT_EQ(receivedRequests.size(), 1U);
+    answer(1, "first");
+    const auto text = readAvailable(1);
+    EXPECT_NE(text.find("Connection: close"), std::string::npos) << text;
+    EXPECT_NE(text.find("first"), std::string::npos) << text;
+    EXPECT_EQ(receivedRequests.size(), 1U);
+    EXPECT_TRUE(abandonedRequests.empty());
+}
+
 } // namespace arbutuscrank::node::test
