Notice sooner that targets may be cold unseen

Cause: the VMs that are cut off hear each other, so they are no minority, and take the silence of the store for an outage; and they notice the silence up to 1.8 s late.

Change: a VM treats targets as cold while neither it nor a VM heard within 0.9 s reads the store, unless nine tenths of the VMs are heard: then nobody is left who could read it. The store counts as silent after 1.25 waits of a watch of the configuration, before the call times out, also in the uptime that VMs report.

--- a/include/arbutuscrank/entry/settings.hpp
+++ b/include/arbutuscrank/entry/settings.hpp
@@ -30,6 +30,9 @@
     /// Longest time for which callers may cache the answer to a look-up
     Duration maxLookupTtl = std::chrono::seconds(5);
     double maxRegionShift = 0.15; ///< fraction of a region's requests that may be moved to another region within 2 s
+
+    /// \brief Time after which the store answers a watch of the configuration even without changes.
+    [[nodiscard]] constexpr Duration policyWatchWait() const noexcept { return keyWithdrawalLimit / 5; }
 };
 
 /// \brief Validated settings of an entry VM.
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -101,6 +101,7 @@
     InFlightCounts reportedInFlight; ///< this VM's in-flight attempts as of its last report
     std::optional<TimePoint> lastTickAt;
     bool isStoreUnavailable = false;
+    std::optional<TimePoint> storeAnsweredAt; ///< newest answer of the store, also through a feed
     std::optional<TimePoint> storeUpSince; ///< first answer of the store after its last failure
     bool refusesKeyedRequests = false; ///< the configuration is too old to authenticate API keys
     std::optional<TimePoint> stopRequestedAt;
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -138,11 +138,11 @@
     return member.lastSeenAt && now - *member.lastSeenAt < maxAge;
 }
 
-bool MemberTable::isMinority(TimePoint now) const
+double MemberTable::heardFraction(TimePoint now, Duration maxAge) const
 {
-    const auto responsiveVms
-        = std::ranges::count_if(m_members, [&](const auto& item) { return isResponsive(item.second, now); });
-    return (static_cast<std::size_t>(responsiveVms) + 1) * 2 < fleetSize();
+    const auto heard
+        = std::ranges::count_if(m_members, [&](const auto& item) { return isResponsive(item.second, now, maxAge); });
+    return static_cast<double>(heard + 1) / static_cast<double>(fleetSize());
 }
 
 std::uint64_t MemberTable::hashOf(const VmId& vm) noexcept { return XXH64(vm.data(), vm.size(), 0); }
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -38,6 +38,11 @@
     constexpr Duration removalTimeout = std::chrono::seconds(12);
     /// A VM that shuts down ends this long before its grace period is over.
     constexpr Duration stopMargin = milliseconds(350);
+    /// The store answers a watch of the configuration at least once in its wait. Without an answer for this multiple of
+    /// it, the store counts as silent.
+    constexpr double storeSilenceFactor = 1.25;
+    /// If fewer VMs are heard, the others may read a store that is silent for all that are heard.
+    constexpr double minHeardFraction = 0.9;
     /// Maximum age of the fleet load that the coordinator reported.
     constexpr Duration fleetLoadMaxAge = milliseconds(1300);
 
@@ -162,9 +167,18 @@
         return out;
     }
 
+    /// Whether the store answers this VM.
+    bool readsStore(const EntryState& state, TimePoint now)
+    {
+        const auto silence = now - state.storeAnsweredAt.value_or(TimePoint {});
+        const auto maxSilence
+            = std::chrono::duration_cast<Duration>(state.settings.bounds.policyWatchWait() * storeSilenceFactor);
+        return !state.isStoreUnavailable && silence < maxSilence;
+    }
+
     Duration ownStoreUptime(const EntryState& state, TimePoint now)
     {
-        return state.storeUpSince ? now - *state.storeUpSince : Duration::zero();
+        return state.storeUpSince && readsStore(state, now) ? now - *state.storeUpSince : Duration::zero();
     }
 
     /// Calls a function for each other VM of this failure domain whose report is younger than
@@ -411,6 +425,23 @@
         }
     }
 
+    /// Whether this VM, or another one that it has heard lately, reads the store.
+    bool hearsStore(const EntryState& state, TimePoint now)
+    {
+        if (readsStore(state, now))
+            return true;
+        const auto isRecent = [&](TimePoint receivedAt) { return now - receivedAt < MemberTable::relayMaxAge; };
+        if (!state.coordination.isCoordinator())
+            return state.fleetLoad.storeUptime > Duration::zero() && state.fleetLoad.receivedAt
+                && isRecent(*state.fleetLoad.receivedAt);
+        bool isHeard = false;
+        forEachRelayedVm(state, now,
+            [&](const Member& member) { isHeard = isHeard || member.report->storeUptime > Duration::zero(); });
+        return isHeard || std::ranges::any_of(state.domainReports.all(), [&](const auto& item) {
+            return item.second.report.storeUptime > Duration::zero() && isRecent(item.second.receivedAt);
+        });
+    }
+
     /// As coordinator, requests the removal of unresponsive VMs of the own failure domain. The first reachable domain
     /// by name also removes the VMs of failure domains that are unreachable as a whole.
     void removeUnresponsiveMembers(EntryState& state, TimePoint now, Effects& out)
@@ -441,8 +472,9 @@
 
 void updateColdnessKnowledge(EntryState& state, TimePoint now, Effects& out)
 {
-    const bool isUnknown = state.isStoreUnavailable && storeUptimeElsewhere(state, now) == Duration::zero()
-        && state.members.isMinority(now);
+    // While no VM reads the store and nearly all are heard, nobody can evacuate targets or end an evacuation.
+    const bool isUnknown
+        = !hearsStore(state, now) && state.members.heardFraction(now, MemberTable::relayMaxAge) < minHeardFraction;
     if (isUnknown != state.targets.isColdnessUnknown())
         out.push_back(WriteLog { LogEvent::ColdnessUnknown, fmt::format("unknown={}", isUnknown) });
     state.targets.setColdnessUnknown(isUnknown);
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -194,6 +194,7 @@
 void apply(EntryState& state, const StoreAnswered&, TimePoint now, Effects& out)
 {
     state.targets.recordStoreSuccess(now);
+    state.storeAnsweredAt = now;
     if (state.isStoreUnavailable)
         out.push_back(WriteLog { LogEvent::StoreRecovered, "peer=" + state.settings.storeAddress });
     state.isStoreUnavailable = false;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -229,7 +229,7 @@
     // store, and a VM that reads the coordinator's feed waits for the coordinator. The other collections only need a
     // live connection, so their watches wait long. Once the policy is read again after a failure, all collections are
     // listed again, which replaces dead connections.
-    const Duration policyWatchWait = m_state.settings.bounds.keyWithdrawalLimit / 5;
+    const auto policyWatchWait = m_state.settings.bounds.policyWatchWait();
     constexpr Duration otherWatchWait = std::chrono::seconds(25);
     // The pause lets one call read changes that come together, as at a start or a release. It is a small part of the
     // bound on requests to draining targets.
