Obey targets that say they leave or ask for a pause

Change: a target whose answer says that it leaves gets no new request from that VM and its idle connections are closed, until it starts again under its id. A refusal with Retry-After pauses the target for that time, at most 10 minutes, for first, repeated, hedged and trial requests alike, and does not count against its health. A value that is no number of seconds is refused with event 607; event 510 shows a pause, event 504 with cause=answer a leaving target.

Result: TargetStatementFailure.* and UnusablePausesAreRefused pass, with all tests of node and adapter. Each VM acts on what was answered to itself; others are not told yet.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -53,6 +53,7 @@
     TargetCold = 507,
     ColdnessUnknown = 508,
     TargetLimited = 509,
+    TargetPaused = 510,
     // 6xx: requests
     RequestRefused = 600,
     RequestOutcomeUnknown = 601,
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -53,6 +53,8 @@
     bool deliverable = false; ///< the answer may be forwarded unchanged
     std::optional<LoadReport> load;
     RateLimitStatement rateLimit;
+    bool isLeaving = false; ///< the target is about to stop
+    std::optional<Duration> pause; ///< time for which the target wants no request from this VM
 };
 
 /// \brief How far an attempt got before it ended without an answer.
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -84,6 +84,8 @@
     std::optional<TimePoint> coldUntil; ///< according to the store
     /// The target was unreachable, or other VMs report that it is cold
     std::optional<TimePoint> suspectedColdUntil;
+    bool isLeaving = false; ///< an answer of the target says that it is about to stop
+    std::optional<TimePoint> pausedUntil; ///< the target wants no request from this VM until then
     std::optional<NamedRate> namedRate; ///< from answers to this VM; unset if no answer has named a limit
     std::optional<NamedRate> reportedNamedRate; ///< from answers to other VMs
     RateSenders rateSenders;
@@ -104,6 +106,7 @@
     /// \brief Time until the target is warm; zero if it is.
     [[nodiscard]] Duration coldRemaining(TimePoint now) const noexcept;
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return coldRemaining(now) > Duration::zero(); }
+    [[nodiscard]] bool isPaused(TimePoint now) const noexcept { return pausedUntil && now < *pausedUntil; }
     /// \brief Limit that the target named in its newest answer to any VM; std::nullopt if there is none.
     [[nodiscard]] std::optional<double> rateLimit(TimePoint now) const noexcept;
     /// \brief Estimated number of requests that run or wait at the target.
@@ -151,7 +154,7 @@
     [[nodiscard]] std::map<std::string, Target, std::less<>>& all() noexcept { return m_targets; }
     [[nodiscard]] const std::map<std::string, Target, std::less<>>& all() const noexcept { return m_targets; }
 
-    /// \brief Whether a target may receive new requests: it is neither draining nor evacuated.
+    /// \brief Whether a target may receive new requests: it is not draining, leaving or evacuated.
     [[nodiscard]] bool isInService(const Target& target) const noexcept;
 
     /// \brief Sets whether targets may be cold without this VM's knowledge. Each is then treated as cold.
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -81,6 +81,8 @@
         return "coldness-unknown";
     case LogEvent::TargetLimited:
         return "target-limited";
+    case LogEvent::TargetPaused:
+        return "target-paused";
     case LogEvent::RequestRefused:
         return "request-refused";
     case LogEvent::RequestOutcomeUnknown:
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutuscrank::entry {
 
@@ -194,6 +195,22 @@
             sendEarlyReports(state, now, out);
     }
 
+    /// Records that a target is about to stop, or wants no request for some time.
+    void recordLeavingAndPause(Target& target, const AttemptAnswered& event, TimePoint now, Effects& out)
+    {
+        if (event.isLeaving && !std::exchange(target.isLeaving, true)) {
+            out.push_back(WriteLog { LogEvent::TargetDraining,
+                fmt::format("target={} cause=answer revision={}", target.record.id, target.record.revision) });
+            out.push_back(CloseIdleConnections { target.record.id });
+        }
+        if (!event.pause)
+            return;
+        if (!target.isPaused(now))
+            out.push_back(WriteLog { LogEvent::TargetPaused,
+                fmt::format("target={} pause_ms={}", target.record.id, *event.pause / milliseconds(1)) });
+        target.pausedUntil = std::max(target.pausedUntil.value_or(now), now + *event.pause);
+    }
+
     void recordDuration(EntryState& state, const Request& request, double durationSeconds)
     {
         auto& typicalSeconds = state.routeDurations[request.route].seconds;
@@ -329,10 +346,12 @@
                                                     : health::Outcome::Failed;
         const auto relative = event.kind == Complete ? relativeDuration(state, request, durationSeconds) : 0;
         const bool wasCold = target->isCold(now);
-        if (event.kind != Misdirected)
+        if (event.kind != Misdirected) {
             recordNamedRate(state, *target, event.rateLimit, now, out);
-        // A limited target that refuses what exceeds its limit is not overloaded.
-        const bool isWithinLimits = event.kind == NotRun && target->rateLimit(now);
+            recordLeavingAndPause(*target, event, now, out);
+        }
+        // A target that says what it takes, and refuses the rest, is not overloaded.
+        const bool isWithinLimits = event.kind == NotRun && (target->rateLimit(now) || event.pause);
         const bool changed = isWithinLimits ? false
             : event.kind == Misdirected     ? health::recordUnreachable(*target, Duration::zero(), now)
                                             : health::recordOutcome(*target, outcome, relative, now);
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -78,8 +78,11 @@
             / std::log(toUnitInterval(mixHashes(target.hash, affinityHash)));
     }
 
-    bool hasRateToken(const TargetTable& targets, Target& target, TimePoint now)
+    /// Whether a target takes a request from this VM now: it has not asked for a pause, and a limited rate has a token.
+    bool takesRequest(const TargetTable& targets, Target& target, TimePoint now)
     {
+        if (target.isPaused(now))
+            return false;
         return !targets.isRateLimited(target, now) || target.rateBucket.level(now) >= oneToken;
     }
 
@@ -145,7 +148,7 @@
             || isListed(placement.excludedTargets, id) || !isAllowed(placement.routeRegions, m_region)
             || !isAllowed(placement.accountRegions, m_region))
             continue;
-        if (health::isHealthyOrDueForTrial(target, now) && hasRateToken(targets, target, now))
+        if (health::isHealthyOrDueForTrial(target, now) && takesRequest(targets, target, now))
             return &target;
     }
     return nullptr;
@@ -167,8 +170,8 @@
             return !health::isHealthyOrDueForTrial(*it.target, now);
         return someHealthy && it.target->ejection != Ejection::None;
     });
-    // Requests that a limited target does not take go elsewhere, also to other regions, instead of being refused.
-    std::erase_if(candidates, [&](const Candidate& it) { return !hasRateToken(targets, *it.target, now); });
+    // Requests that a target does not take now go elsewhere, also to other regions, instead of being refused.
+    std::erase_if(candidates, [&](const Candidate& it) { return !takesRequest(targets, *it.target, now); });
     if (candidates.empty())
         return { .reason = NoTargetReason::NoneAvailable };
     const auto region = chooseRegion(placement, affinityHash);
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -60,6 +60,8 @@
         target.loadReportedAt.reset();
         target.coldUntil.reset();
         target.suspectedColdUntil.reset();
+        target.isLeaving = false;
+        target.pausedUntil.reset();
         target.namedRate.reset();
         target.reportedNamedRate.reset();
     }
@@ -159,7 +161,7 @@
 
 bool TargetTable::isInService(const Target& target) const noexcept
 {
-    return !target.record.draining && !m_evacuated.contains(target.record.failureDomain);
+    return !target.record.draining && !target.isLeaving && !m_evacuated.contains(target.record.failureDomain);
 }
 
 } // namespace arbutuscrank::entry
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -86,9 +86,13 @@
     {
         using enum entry::AnswerKind;
         const auto status = result.answer.result_int();
-        entry::AttemptAnswered event {
-            .request = request, .attempt = attempt, .status = status, .load = result.load, .rateLimit = result.rateLimit
-        };
+        entry::AttemptAnswered event { .request = request,
+            .attempt = attempt,
+            .status = status,
+            .load = result.load,
+            .rateLimit = result.rateLimit,
+            .isLeaving = result.isLeaving,
+            .pause = result.pause };
         if (status == 421)
             event.kind = Misdirected;
         else if (result.notRun)
@@ -200,11 +204,9 @@
         dispatch(entry::AttemptFailed { request, attempt, *result.failure, std::move(result.detail) });
         return;
     }
-    if (!result.refusedRateLimit.empty())
+    for (const auto& [field, value] : result.refusedValues)
         log(LogEvent::AnswerValueRefused,
-            fmt::format("attempt={} field={} found=\"{}\" limit=\"one number from 0 to {}\"", attempt,
-                m_platform.headers.rateLimit, result.refusedRateLimit.substr(0, maxLoggedValueBytes),
-                entry::maxNamedRate));
+            fmt::format("attempt={} field={} found=\"{}\"", attempt, field, value.substr(0, maxLoggedValueBytes)));
     const auto event = classifyAnswer(request, attempt, result);
     if (const auto it = m_pendingRequests.find(request); it != m_pendingRequests.end() && event.deliverable)
         it->second.answers.emplace(attempt, std::move(result.answer));
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -106,6 +106,7 @@
     std::string notRun; ///< set by a target that did not run the request
     std::string load; ///< load of the target: "running,waiting,slots"
     std::string rateLimit; ///< requests per second that the target takes from all VMs together, while it is limited
+    std::string leaving; ///< "1" in the answers of a target that is about to stop
 };
 
 /// \brief HTTP paths that this VM serves besides callers' requests.
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -20,6 +20,8 @@
             { "slots", target.record.slots },
             { "draining", target.record.draining },
             { "lapsed", target.isAwaitingRemoval },
+            { "leaving", target.isLeaving },
+            { "paused", target.isPaused(now) },
             { "cold", target.isCold(now) },
             { "rateLimit", target.rateLimit(now) ? Json(*target.rateLimit(now)) : Json() },
             { "inFlight", target.inFlight },
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -18,6 +18,8 @@
     /// Number of answers that are informational, or belong to no request or to an earlier one, and are skipped before
     /// the connection is closed.
     constexpr std::uint32_t maxSkippedAnswers = 4;
+    /// Longest pause that a target may ask for.
+    constexpr Duration maxPause = std::chrono::minutes(10);
     /// Lower statuses are informational: the final answer follows.
     constexpr unsigned firstFinalStatus = 200;
 
@@ -35,6 +37,25 @@
         return entry::LoadReport { values[0], values[1], values[2] };
     }
 
+    std::optional<double> parseNumber(std::string_view text)
+    {
+        double value = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+        const bool isNumber = !text.empty() && ec == std::errc() && end == text.data() + text.size();
+        return isNumber ? std::optional(value) : std::nullopt;
+    }
+
+    /// Reads the pause that a refusal asks for, in seconds. Longer ones than \ref maxPause are cut.
+    std::optional<Duration> parsePause(std::string_view text)
+    {
+        const auto seconds = parseNumber(text);
+        // The comparison also rejects NaN.
+        if (!seconds || !(*seconds >= 0))
+            return std::nullopt;
+        const auto limited = std::min(*seconds, std::chrono::duration<double>(maxPause).count());
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(limited));
+    }
+
     /// Reads the limit that an answer states. Fields that are repeated must have equal values.
     entry::RateLimitStatement parseRateLimit(const CallerAnswer& answer, const std::string& field)
     {
@@ -43,14 +64,12 @@
         if (first == last)
             return {};
         const auto text = first->value();
-        double perSecond = 0;
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), perSecond);
-        const bool isNumber = !text.empty() && ec == std::errc() && end == text.data() + text.size();
+        const auto perSecond = parseNumber({ text.data(), text.size() });
         const bool areEqual = std::all_of(first, last, [&](const auto& it) { return it.value() == text; });
         // The comparison also rejects NaN.
-        if (!isNumber || !areEqual || !(perSecond >= 0 && perSecond <= entry::maxNamedRate))
+        if (!perSecond || !areEqual || !(*perSecond >= 0 && *perSecond <= entry::maxNamedRate))
             return { Unreadable, 0 };
-        return { Limited, perSecond };
+        return { Limited, *perSecond };
     }
 
 } // namespace
@@ -207,7 +226,14 @@
         result.load = parseLoad({ it->value().data(), it->value().size() });
     result.rateLimit = parseRateLimit(result.answer, names.rateLimit);
     if (result.rateLimit.kind == entry::RateLimitStatement::Kind::Unreadable)
-        result.refusedRateLimit = std::string(result.answer[names.rateLimit]);
+        result.refusedValues[names.rateLimit] = std::string(result.answer[names.rateLimit]);
+    result.isLeaving = result.answer[names.leaving] == "1";
+    if (const auto it = result.answer.find(http::field::retry_after);
+        it != result.answer.end() && result.answer.result() == http::status::service_unavailable) {
+        result.pause = parsePause({ it->value().data(), it->value().size() });
+        if (!result.pause)
+            result.refusedValues["Retry-After"] = std::string(it->value());
+    }
     if (isReusable)
         m_owner.storeIdle(m_parameters.target, m_socket, idleTimeout);
     finish(std::move(result));
--- a/src/node/target_connections.hpp
+++ b/src/node/target_connections.hpp
@@ -23,7 +23,9 @@
     bool hasSignature = false; ///< the answer has the signature header; the signature is not verified
     std::optional<entry::LoadReport> load;
     entry::RateLimitStatement rateLimit;
-    std::string refusedRateLimit; ///< the value, if the answer states a limit that cannot be used
+    bool isLeaving = false; ///< the target is about to stop
+    std::optional<Duration> pause; ///< time for which a target that refused the request wants none from this VM
+    std::map<std::string, std::string> refusedValues; ///< by header, values of the answer that cannot be used
 };
 
 class TargetAttempt;
--- a/tests/entry/targets_failure_test.cpp
+++ b/tests/entry/targets_failure_test.cpp
@@ -112,6 +112,55 @@
     EXPECT_EQ(target.ejection, Ejection::Slow);
 }
 
+// Guards against new requests to a target whose answers say that it is about to stop, and against a restarted target
+// that gets none.
+TEST(TargetStatementFailure, LeavingTargetGetsNoNewRequestUntilItStartsAgain)
+{
+    Entry entry;
+    entry.useTargets({ makeTarget("t1") });
+    const auto first = entry.request("/read/1");
+    const auto sent = entry.last<SendAttempt>();
+    ASSERT_TRUE(sent);
+    entry.handle(AttemptAnswered { .request = first, .attempt = sent->attempt, .status = 200, .isLeaving = true });
+    EXPECT_TRUE(entry.last<CloseIdleConnections>());
+    entry.effects.clear();
+    entry.handle(TargetChanged { makeTarget("t1") });
+    entry.request("/read/1");
+    EXPECT_FALSE(entry.last<SendAttempt>());
+    auto restarted = makeTarget("t1");
+    restarted.startedAtMs = 2;
+    entry.handle(TargetChanged { restarted });
+    entry.request("/read/1");
+    EXPECT_TRUE(entry.last<SendAttempt>());
+}
+
+// Guards against requests to a target that has asked for a pause, from any of the ways in which a target is chosen.
+TEST(TargetStatementFailure, PausedTargetGetsNothingUntilThePauseEnds)
+{
+    Entry entry;
+    entry.useTargets({ makeTarget("t1"), makeTarget("t2") });
+    const auto first = entry.request("/read/1");
+    const auto sent = entry.last<SendAttempt>();
+    ASSERT_TRUE(sent);
+    entry.effects.clear();
+    entry.handle(AttemptAnswered {
+        .request = first, .attempt = sent->attempt, .kind = AnswerKind::NotRun, .status = 503, .pause = seconds(3) });
+    for (int i = 0; i < 14; ++i) {
+        for (const auto* path : { "/read/1", "/write/1" })
+            entry.request(path);
+        for (const auto& effect : entry.effects) {
+            if (const auto* attempt = std::get_if<SendAttempt>(&effect)) {
+                EXPECT_NE(attempt->target, sent->target);
+                entry.state.targets.find(attempt->target)->inFlight = 0;
+            }
+        }
+        entry.advance(milliseconds(200));
+    }
+    EXPECT_EQ(entry.state.targets.find(sent->target)->ejection, Ejection::None);
+    entry.advance(milliseconds(400));
+    EXPECT_FALSE(entry.state.targets.find(sent->target)->isPaused(entry.now));
+}
+
 // Guards against a target that crashes because all VMs together exceed the rate that it can serve while cold.
 TEST(ColdTargets, FleetKeepsToTheRateOfAColdTarget)
 {
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -90,9 +90,9 @@
         { "Limit: 1e999\r\n", Unreadable }, { "Limit: 3 a second\r\n", Unreadable }, { "Limit:\r\n", Unreadable },
         { "Limit: 2\r\nLimit: 3\r\n", Unreadable } };
     for (const auto& [header, expected] : cases) {
-        const ScriptedServer server([&](Tcp::socket& socket, int) {
+        const ScriptedServer server([&headerText = header](Tcp::socket& socket, int) {
             readRequest(socket);
-            writeText(socket, answer("r1", "own", header));
+            writeText(socket, answer("r1", "own", headerText));
         });
         const auto result = send(server);
         EXPECT_FALSE(result.failure) << header;
@@ -100,6 +100,28 @@
     }
 }
 
+// Guards against an endless or negative pause from a value that is no number of seconds.
+TEST_F(TargetAnswersFailure, UnusablePausesAreRefused)
+{
+    const std::vector<std::pair<std::string, std::optional<Duration>>> cases { { "0.5",
+                                                                                   std::chrono::milliseconds(500) },
+        { "0", Duration::zero() }, { "1e9", std::chrono::minutes(10) }, { "-1", std::nullopt }, { "nan", std::nullopt },
+        { "1e999", std::nullopt }, { "Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt } };
+    for (const auto& [text, expected] : cases) {
+        const ScriptedServer server([&value = text](Tcp::socket& socket, int) {
+            readRequest(socket);
+            writeText(socket,
+                "HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\nLeaving: 1\r\nRetry-After: " + value
+                    + "\r\nContent-Length: 0\r\n\r\n");
+        });
+        const auto result = send(server);
+        EXPECT_TRUE(result.notRun) << text;
+        EXPECT_TRUE(result.isLeaving) << text;
+        EXPECT_EQ(result.pause, expected) << text;
+        EXPECT_EQ(result.refusedValues.contains("Retry-After"), !expected) << text;
+    }
+}
+
 // Guards against an answer that names no request and that is passed on for a request to which it doesn't belong.
 TEST_F(TargetAnswersFailure, AnswerWithoutAnIdOnAKeptConnectionIsNotPassedOn)
 {
--- a/tests/node/target_fixture.hpp
+++ b/tests/node/target_fixture.hpp
@@ -26,7 +26,8 @@
         .signature = "Signature",
         .notRun = "Not-Run",
         .load = "Load",
-        .rateLimit = "Limit" };
+        .rateLimit = "Limit",
+        .leaving = "Leaving" };
 }
 
 /// \brief A complete answer to the request with an id.
