--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -32,8 +32,8 @@
 /// \brief Why no target was chosen.
 enum class NoTargetReason {
     NoneInService, ///< no target of the service is in service, in an allowed region and not excluded
-    /// Targets are in service, but each one that was considered is unreachable, at its load limit, or out of tokens
-    /// of its limited rate
+    /// Targets are in service, but each one that was considered is unreachable, at its load limit, paused, or out of
+    /// tokens of its limited rate
     NoneAvailable,
 };
 
