--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -472,8 +472,8 @@
 
 void updateColdnessKnowledge(EntryState& state, TimePoint now, Effects& out)
 {
-    // VMs that are not heard may read the store, and so learn of targets that turn cold. If nearly all VMs are heard and
-    // none of them reads it, the store is down for all, and no evacuation can start or end.
+    // VMs that are not heard may read the store, and so learn of targets that turn cold. If nearly all VMs are heard
+    // and none of them reads it, the store is down for all, and no evacuation can start or end.
     const bool isUnknown
         = !hearsStore(state, now) && state.members.heardFraction(now, MemberTable::relayMaxAge) < minHeardFraction;
     if (isUnknown != state.targets.isColdnessUnknown())
