Record evacuations in the store until their targets are warm

What callers saw: after a restart of all VMs right at the end of an evacuation, no VM knew that the targets of the failure domain were cold, and each got up to 42 requests in a second in the test (17 allowed), which ends it. Cause: the end of an evacuation was remembered by processes only. Change: the coordinator that acts for the fleet records each evacuation in the collection of registrations, and removes the record when targets that were cold at its end are warm. A VM that reads a record of a domain that is no longer evacuated treats its targets as cold. Two writes for each evacuation, no further reads. What the entry node reads from the store and writes there moves to a file of its own. Test: VmsThatHaveJustStartedKeepToTheRate is replaced. In its old form a target turned cold without any trace that a VM could have seen: the same fleet without a restart sends 25 requests in that second too, so no process could have kept the rate. RecordOfAnEvacuationIsRemovedOnceItsTargetsAreWarm guards the other direction.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -54,6 +54,7 @@
     ColdnessUnknown = 508,
     TargetLimited = 509,
     TargetPaused = 510,
+    EvacuationRecordsRead = 511,
     // 6xx: requests
     RequestRefused = 600,
     RequestOutcomeUnknown = 601,
--- a/include/arbutuscrank/entry.hpp
+++ b/include/arbutuscrank/entry.hpp
@@ -5,6 +5,7 @@
 
 #include <arbutuscrank/entry/coordination.hpp>
 #include <arbutuscrank/entry/effects.hpp>
+#include <arbutuscrank/entry/evacuation_records.hpp>
 #include <arbutuscrank/entry/events.hpp>
 #include <arbutuscrank/entry/fleet_messages.hpp>
 #include <arbutuscrank/entry/members.hpp>
--- a/include/arbutuscrank/entry/effects.hpp
+++ b/include/arbutuscrank/entry/effects.hpp
@@ -88,6 +88,16 @@
     std::string vm;
 };
 
+/// \brief Records in the store that a failure domain is evacuated.
+struct RecordEvacuation {
+    std::string failureDomain;
+};
+
+/// \brief Removes the record of an evacuation from the store.
+struct RemoveEvacuationRecord {
+    std::string failureDomain;
+};
+
 /// \brief Writes a log line.
 struct WriteLog {
     LogEvent event {};
@@ -95,6 +105,7 @@
 };
 
 using EntryEffect = std::variant<SendAttempt, CancelAttempt, DeliverAnswer, SendLocalAnswer, SetExpiryTimer,
-    SetHedgeTimer, SetAdmissionTimer, CloseIdleConnections, SendMessage, RemoveRegistration, WriteLog>;
+    SetHedgeTimer, SetAdmissionTimer, CloseIdleConnections, SendMessage, RemoveRegistration, RecordEvacuation,
+    RemoveEvacuationRecord, WriteLog>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -118,6 +118,11 @@
     EvacuationReading reading;
 };
 
+/// \brief The set of failure domains whose evacuations are recorded in the store was read.
+struct EvacuationRecordsChanged {
+    std::set<std::string> failureDomains;
+};
+
 /// \brief The complete list of registered VMs, as one read of the store returned it.
 struct MembersListed {
     std::vector<MemberRecord> records;
@@ -165,8 +170,8 @@
 
 using EntryEvent = std::variant<RequestArrived, CallerDisconnected, AttemptAnswered, AttemptFailed, RequestExpired,
     AdmissionTimedOut, HedgeDue, PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved,
-    EvacuationsChanged, MembersListed, MemberChanged, MemberRemoved, StoreFailed, StoreAnswered, VmReportReceived,
-    DomainReportReceived, DigestReceived, AdmissionRequestReceived, AdmissionDecisionReceived, TokenReturnReceived,
-    Tick, StopRequested>;
+    EvacuationsChanged, EvacuationRecordsChanged, MembersListed, MemberChanged, MemberRemoved, StoreFailed,
+    StoreAnswered, VmReportReceived, DomainReportReceived, DigestReceived, AdmissionRequestReceived,
+    AdmissionDecisionReceived, TokenReturnReceived, Tick, StopRequested>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -3,6 +3,7 @@
 #include <arbutuscrank/core/random.hpp>
 #include <arbutuscrank/entry/coordination.hpp>
 #include <arbutuscrank/entry/effects.hpp>
+#include <arbutuscrank/entry/evacuation_records.hpp>
 #include <arbutuscrank/entry/events.hpp>
 #include <arbutuscrank/entry/quota_sharing.hpp>
 #include <arbutuscrank/entry/retry_limit.hpp>
@@ -81,6 +82,7 @@
     PolicyIndex policy;
     TargetTable targets;
     EvacuationReading evacuations; ///< newest reading of this VM or of another one
+    EvacuationRecords evacuationRecords;
     TargetSelection selection;
     QuotaSharing quota;
     RetryLimit retryLimit;
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -83,6 +83,8 @@
         return "target-limited";
     case LogEvent::TargetPaused:
         return "target-paused";
+    case LogEvent::EvacuationRecordsRead:
+        return "evacuation-records-read";
     case LogEvent::RequestRefused:
         return "request-refused";
     case LogEvent::RequestOutcomeUnknown:
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -453,8 +453,7 @@
         if (!state.coordination.isCoordinator())
             return;
         const auto& own = state.settings.failureDomain;
-        const bool isFirstFreshDomain = std::ranges::none_of(state.domainReports.all(),
-            [&](const auto& item) { return item.first < own && DomainReportTable::isFresh(item.second, now); });
+        const bool isFirstFreshDomain = coordinatesFleet(state, now);
         std::vector<VmId> unresponsive;
         for (const auto& [vm, member] : state.members.others()) {
             const auto& domain = member.record.failureDomain;
@@ -474,6 +473,13 @@
 
 } // namespace
 
+bool coordinatesFleet(const EntryState& state, TimePoint now)
+{
+    return state.coordination.isCoordinator() && std::ranges::none_of(state.domainReports.all(), [&](const auto& item) {
+        return item.first < state.settings.failureDomain && DomainReportTable::isFresh(item.second, now);
+    });
+}
+
 void updateColdnessKnowledge(EntryState& state, TimePoint now, Effects& out)
 {
     // VMs that are not heard may read the store, and so learn of targets that turn cold. If nearly all VMs are heard
@@ -627,8 +633,10 @@
             fmt::format("version={} age_ms={}", state.policy.policy().version,
                 (now - *state.policyConfirmedAt) / milliseconds(1)) });
     }
-    if (!state.isStoreUnavailable && !state.stopRequestedAt)
+    if (!state.isStoreUnavailable && !state.stopRequestedAt) {
         removeUnresponsiveMembers(state, now, out);
+        maintainEvacuationRecords(state, now, out);
+    }
     if (!state.coordination.isCoordinator()) {
         reportToCoordinator(state, now, out);
         return;
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -68,6 +68,7 @@
     }
     state.policy = PolicyIndex(event.policy);
     state.quota.setPolicy(event.policy, now);
+    applyEvacuationRecords(state, now, out);
     std::erase_if(state.serviceCredits, [&](const auto& item) {
         return std::ranges::none_of(event.policy.routes, [&](const auto& route) { return route.name == item.first; });
     });
@@ -103,6 +104,7 @@
     updateRateShares(state.targets, state.policy, state.members, now);
     if (haveTurnedCold)
         sendEarlyReports(state, now, out);
+    applyEvacuationRecords(state, now, out);
 }
 
 void apply(EntryState& state, const TargetChanged& event, TimePoint now, Effects& out)
@@ -130,8 +132,10 @@
         return;
     const auto before = std::exchange(state.evacuations, reading).failureDomains;
     const auto& evacuated = reading.failureDomains;
-    if (evacuated == before)
+    if (evacuated == before) {
+        applyEvacuationRecords(state, now, out); // this may be the first reading
         return;
+    }
     bool haveTurnedCold = false;
     for (auto& [id, target] : state.targets.all()) {
         const auto& domain = target.record.failureDomain;
@@ -149,6 +153,7 @@
         fmt::format("failure_domains=\"{}\" revision={}", fmt::join(evacuated, ","), reading.revision) });
     if (haveTurnedCold)
         sendEarlyReports(state, now, out);
+    applyEvacuationRecords(state, now, out);
 }
 
 void apply(EntryState& state, const EvacuationsChanged& event, TimePoint now, Effects& out)
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -22,6 +22,7 @@
 void apply(EntryState& state, const TargetChanged& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const TargetRemoved& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const EvacuationsChanged& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const EvacuationRecordsChanged& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const MemberChanged& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const MemberRemoved& event, TimePoint now, Effects& out);
@@ -50,6 +51,17 @@
 /// \brief Applies a reading of the evacuated failure domains unless a newer one has been applied.
 void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out);
 
+/// \brief Treats targets as cold whose failure domain was evacuated until lately, according to the records in the store.
+void applyEvacuationRecords(EntryState& state, TimePoint now, Effects& out);
+
+/// \brief As the responsible coordinator, requests the records of evacuations that are missing in the store, and the
+/// removal of those whose targets are warm again.
+void maintainEvacuationRecords(EntryState& state, TimePoint now, Effects& out);
+
+/// \brief Whether this VM is the coordinator that acts for the whole fleet: that of the first reachable failure domain
+/// by name.
+[[nodiscard]] bool coordinatesFleet(const EntryState& state, TimePoint now);
+
 /// \brief Updates whether targets may be cold without this VM's knowledge, and logs a change.
 void updateColdnessKnowledge(EntryState& state, TimePoint now, Effects& out);
 
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -64,6 +64,9 @@
     void applyListing(Collection collection, const std::vector<StoreObject>& objects);
     void applyChange(Collection collection, const StoreChange& change);
     void dispatchEvacuations();
+    void applyEvacuationRecordChange(const std::string& failureDomain, const StoreChange& change);
+    /// Removes an object of the collection of members from the store, if it is known.
+    void removeMemberObject(const std::string& name);
     void applyPolicyObject(const StoreObject& object);
     [[nodiscard]] std::vector<entry::TargetRecord> decodeTargets(const std::vector<StoreObject>& objects);
     void handleReadFailure(Collection collection, const Error& error);
@@ -88,6 +91,8 @@
     void perform(const entry::SetAdmissionTimer& effect);
     void perform(const entry::SendMessage& effect);
     void perform(const entry::RemoveRegistration& effect);
+    void perform(const entry::RecordEvacuation& effect);
+    void perform(const entry::RemoveEvacuationRecord& effect);
     void perform(const entry::WriteLog& effect);
     void answerCaller(RequestId request, CallerAnswer answer);
 
@@ -119,7 +124,8 @@
     TimePoint m_startedAt {};
     bool m_hasStartedReaders = false; ///< whether all readers run; at first, only the reader of members does
     std::optional<TimePoint> m_directReadsUntil; ///< the store is read directly until then, because the feed has failed
-    std::map<std::string, ObjectVersion> m_memberRevisions;
+    std::map<std::string, ObjectVersion> m_memberRevisions; ///< of registrations and of evacuation records
+    std::set<std::string> m_evacuationRecords; ///< failure domains with a record in the store
     std::set<std::string> m_evacuations;
     std::set<std::string> m_undecodableTargets; ///< targets in the store that could not be decoded, logged once each
     std::deque<entry::EntryEvent> m_events; ///< queue of events that have not been reduced
--- /dev/null
+++ b/src/node/entry_node_store.cpp
@@ -0,0 +1,307 @@
+#include "node/entry_node.hpp"
+
+#include "node/clock.hpp"
+#include "node/member_codec.hpp"
+
+#include <fmt/format.h>
+
+/// \file
+/// \brief What an entry VM reads from the store and writes there.
+
+namespace arbutuscrank::node {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Time for which a VM reads the store directly after its coordinator's feed has failed.
+    constexpr Duration directReadTime = std::chrono::seconds(4);
+    /// Time for which a starting VM retries an unreachable feed, because its coordinator may be starting too.
+    constexpr Duration coordinatorStartTimeout = milliseconds(1500);
+
+} // namespace
+
+void EntryNode::createReaders()
+{
+    // An answered watch of the policy proves that no key was withdrawn before the watch was sent. The age of this proof
+    // must stay within the bound on withdrawals. The wait counts twice towards that age: the coordinator waits for the
+    // store, and a VM that reads the coordinator's feed waits for the coordinator. The other collections only need a
+    // live connection, so their watches wait long. Once the policy is read again after a failure, all collections are
+    // listed again, which replaces dead connections.
+    const auto policyWatchWait = m_state.settings.bounds.policyWatchWait();
+    constexpr Duration otherWatchWait = std::chrono::seconds(25);
+    // The pause lets one call read changes that come together, as at a start or a release. It is a small part of the
+    // bound on requests to draining targets.
+    constexpr Duration policyPause = milliseconds(20);
+    const Duration otherPause = m_state.settings.bounds.drainLimit / 5;
+    for (const auto collection :
+        { Collection::Policy, Collection::Targets, Collection::Evacuations, Collection::Members }) {
+        const CollectionReader::WatchTiming timing = collection == Collection::Policy
+            ? CollectionReader::WatchTiming { policyWatchWait, policyPause }
+            : CollectionReader::WatchTiming { otherWatchWait, otherPause };
+        m_readers.emplace(collection,
+            std::make_shared<CollectionReader>(m_context, m_store, collection, timing, readerHandlers(collection)));
+    }
+}
+
+void EntryNode::updateStoreSource()
+{
+    const auto& coordination = m_state.coordination;
+    if (!coordination.isCoordinator() && coordination.followedCoordinator().empty())
+        return; // no coordinator is known yet
+    const auto now = currentTime();
+    const bool readsDirectly = coordination.isCoordinator() || (m_directReadsUntil && now < *m_directReadsUntil);
+    std::string source;
+    if (const auto it = m_state.members.others().find(coordination.followedCoordinator());
+        !readsDirectly && it != m_state.members.others().end())
+        source = it->second.record.reportAddress;
+    if (m_hasStartedReaders && source == m_store->source())
+        return;
+    for (const auto& [collection, reader] : m_readers)
+        reader->stop();
+    m_store->setSource(source);
+    m_hasStartedReaders = true;
+    m_mustListAfterFailure = false;
+    log(LogEvent::StoreSourceChanged, fmt::format("source={}", source.empty() ? "store" : source));
+    for (const auto& [collection, reader] : m_readers)
+        reader->restart();
+}
+
+CollectionReader::Handlers EntryNode::readerHandlers(Collection collection)
+{
+    return {
+        .onListed = [this, collection](const std::vector<StoreObject>& objects) { applyListing(collection, objects); },
+        .onChanged = [this, collection](const StoreChange& change) { applyChange(collection, change); },
+        .onConfirmed =
+            [this, collection](TimePoint sentAt) {
+                m_readConfirmedAt[collection] = sentAt;
+                dispatch(entry::StoreAnswered {});
+                if (collection == Collection::Policy && m_state.policy.policy().version != 0)
+                    dispatch(entry::PolicyConfirmed { sentAt });
+                if (collection == Collection::Policy && m_mustListAfterFailure)
+                    listAfterFailure();
+            },
+        .onFailed = [this, collection](const Error& error) { handleReadFailure(collection, error); },
+    };
+}
+
+void EntryNode::handleReadFailure(Collection collection, const Error& error)
+{
+    ++m_failedStoreCalls;
+    const bool isHistoryGone = error.code == ErrorCode::NotFound;
+    if (!m_store->source().empty()) {
+        handleFeedFailure(collection, error);
+        return;
+    }
+    const bool wasStoreUnavailable = m_state.isStoreUnavailable;
+    if (!isHistoryGone) {
+        m_store->invalidateFeed(collection);
+        dispatch(entry::StoreFailed {});
+    }
+    if (!wasStoreUnavailable)
+        log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
+    if (collection == Collection::Policy)
+        m_mustListAfterFailure = true;
+}
+
+void EntryNode::listAfterFailure()
+{
+    // The connections of the other readers may be dead too, which a long watch would not show for some time.
+    m_mustListAfterFailure = false;
+    for (const auto& [collection, reader] : m_readers) {
+        if (collection != Collection::Policy)
+            reader->restart();
+    }
+}
+
+void EntryNode::handleFeedFailure(Collection collection, const Error& error)
+{
+    if (error.code == ErrorCode::NotFound)
+        return; // the reader lists the collection again
+    // While this VM starts, its coordinator may be starting too, so the reader retries the feed. Later, this VM reads
+    // the store directly as soon as the feed fails.
+    const bool isStarting
+        = m_state.policy.policy().version == 0 && currentTime() - m_startedAt < coordinatorStartTimeout;
+    if (isStarting && error.code == ErrorCode::Unavailable)
+        return;
+    log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
+    m_directReadsUntil = currentTime() + directReadTime;
+    updateStoreSource();
+}
+
+void EntryNode::applyPolicyObject(const StoreObject& object)
+{
+    auto policy = m_platform.decoder->decodePolicy(object);
+    if (policy)
+        dispatch(entry::PolicyRead { std::move(policy.value()) });
+    else
+        log(LogEvent::ConfigurationRefused,
+            fmt::format("revision={} in_force={} {}", object.revision, m_state.policy.policy().version,
+                describe(policy.error())));
+}
+
+std::vector<entry::TargetRecord> EntryNode::decodeTargets(const std::vector<StoreObject>& objects)
+{
+    std::vector<entry::TargetRecord> records;
+    for (const auto& object : objects) {
+        auto record = m_platform.decoder->decodeTarget(object);
+        if (record)
+            records.push_back(std::move(record.value()));
+        else if (m_undecodableTargets.insert(object.name).second)
+            log(LogEvent::StoreEntryRefused, fmt::format("name={} {}", object.name, describe(record.error())));
+    }
+    return records;
+}
+
+void EntryNode::applyListing(Collection collection, const std::vector<StoreObject>& objects)
+{
+    switch (collection) {
+    case Collection::Policy:
+        for (const auto& object : objects)
+            applyPolicyObject(object);
+        return;
+    case Collection::Targets:
+        dispatch(entry::TargetsListed { decodeTargets(objects) });
+        return;
+    case Collection::Evacuations:
+        m_evacuations.clear();
+        for (const auto& object : objects)
+            m_evacuations.insert(object.name);
+        dispatchEvacuations();
+        return;
+    case Collection::Members: {
+        std::vector<entry::MemberRecord> records;
+        const StoreObject* self = nullptr;
+        m_memberRevisions.clear();
+        m_evacuationRecords.clear();
+        for (const auto& object : objects) {
+            m_memberRevisions[object.name] = object.revision;
+            if (auto failureDomain = recordedEvacuation(object)) {
+                m_evacuationRecords.insert(std::move(*failureDomain));
+                continue;
+            }
+            if (object.name == m_state.settings.vm)
+                self = &object;
+            if (auto record = decodeMember(object))
+                records.push_back(std::move(record.value()));
+            else
+                log(LogEvent::StoreEntryRefused, fmt::format("name={} {}", object.name, describe(record.error())));
+        }
+        dispatch(entry::MembersListed { std::move(records) });
+        dispatch(entry::EvacuationRecordsChanged { m_evacuationRecords });
+        registerSelf(self);
+        if (!m_hasStartedReaders)
+            updateStoreSource();
+        return;
+    }
+    }
+}
+
+void EntryNode::applyChange(Collection collection, const StoreChange& change)
+{
+    const auto& object = change.object;
+    switch (collection) {
+    case Collection::Policy:
+        if (!change.isDeleted)
+            applyPolicyObject(object);
+        return;
+    case Collection::Targets:
+        // An entry that can no longer be read names no target, as in a list.
+        if (auto records = change.isDeleted ? std::vector<entry::TargetRecord>() : decodeTargets({ object });
+            !records.empty())
+            dispatch(entry::TargetChanged { std::move(records.front()) });
+        else
+            dispatch(entry::TargetRemoved { object.name, object.revision });
+        return;
+    case Collection::Evacuations:
+        if (change.isDeleted)
+            m_evacuations.erase(object.name);
+        else
+            m_evacuations.insert(object.name);
+        dispatchEvacuations();
+        return;
+    case Collection::Members:
+        if (const auto failureDomain = recordedEvacuation(object)) {
+            applyEvacuationRecordChange(*failureDomain, change);
+            return;
+        }
+        if (change.isDeleted) {
+            m_memberRevisions.erase(object.name);
+            dispatch(entry::MemberRemoved { object.name });
+            if (object.name == m_state.settings.vm)
+                registerSelf(nullptr);
+            return;
+        }
+        m_memberRevisions[object.name] = object.revision;
+        if (auto record = decodeMember(object))
+            dispatch(entry::MemberChanged { std::move(record.value()) });
+        else
+            log(LogEvent::StoreEntryRefused, fmt::format("name={} {}", object.name, describe(record.error())));
+        return;
+    }
+}
+
+void EntryNode::dispatchEvacuations()
+{
+    dispatch(entry::EvacuationsChanged { { m_readers.at(Collection::Evacuations)->revision(), m_evacuations } });
+}
+
+void EntryNode::applyEvacuationRecordChange(const std::string& failureDomain, const StoreChange& change)
+{
+    if (change.isDeleted) {
+        m_memberRevisions.erase(change.object.name);
+        m_evacuationRecords.erase(failureDomain);
+    } else {
+        m_memberRevisions[change.object.name] = change.object.revision;
+        m_evacuationRecords.insert(failureDomain);
+    }
+    dispatch(entry::EvacuationRecordsChanged { m_evacuationRecords });
+}
+
+void EntryNode::registerSelf(const StoreObject* registered)
+{
+    const auto registration = encodeMember(m_state.members.self());
+    if (m_isRegistering || m_state.stopRequestedAt || (registered && registered->body == registration.body))
+        return;
+    m_isRegistering = true;
+    auto object = registration;
+    object.revision = registered ? registered->revision : 0;
+    m_store->write(Collection::Members, object, [this](Result<ObjectVersion> result) {
+        m_isRegistering = false;
+        if (result)
+            return;
+        log(LogEvent::StoreCallFailed, fmt::format("collection=members {}", describe(result.error())));
+        // The write may have taken effect, or another run of this VM may have registered first. A new list shows which.
+        m_readers.at(Collection::Members)->restartAfterBackoff();
+    });
+}
+
+void EntryNode::removeMemberObject(const std::string& name)
+{
+    const auto it = m_memberRevisions.find(name);
+    if (it == m_memberRevisions.end())
+        return;
+    m_store->remove(Collection::Members, name, it->second, [this](Result<ObjectVersion> result) {
+        if (!result)
+            log(LogEvent::StoreCallFailed, fmt::format("collection=members {}", describe(result.error())));
+    });
+}
+
+void EntryNode::perform(const entry::RemoveRegistration& effect) { removeMemberObject(effect.vm); }
+
+void EntryNode::perform(const entry::RecordEvacuation& effect)
+{
+    // If the call fails, the coordinator requests the record again.
+    m_store->write(
+        Collection::Members, encodeEvacuationRecord(effect.failureDomain), [this](Result<ObjectVersion> result) {
+            if (!result)
+                log(LogEvent::StoreCallFailed, fmt::format("collection=members {}", describe(result.error())));
+        });
+}
+
+void EntryNode::perform(const entry::RemoveEvacuationRecord& effect)
+{
+    removeMemberObject(encodeEvacuationRecord(effect.failureDomain).name);
+}
+
+} // namespace arbutuscrank::node
--- a/src/node/member_codec.cpp
+++ b/src/node/member_codec.cpp
@@ -4,6 +4,13 @@
 
 namespace arbutuscrank::node {
 
+namespace {
+
+    /// Start of the names of evacuation records.
+    constexpr std::string_view evacuationPrefix = "evacuation.";
+
+} // namespace
+
 StoreObject encodeMember(const entry::MemberRecord& member)
 {
     const nlohmann::json body {
@@ -33,4 +40,17 @@
     }
 }
 
+StoreObject encodeEvacuationRecord(std::string_view failureDomain)
+{
+    const nlohmann::json body { { "evacuatedFailureDomain", failureDomain } };
+    return { .name = std::string(evacuationPrefix) + std::string(failureDomain), .body = body.dump() };
+}
+
+std::optional<std::string> recordedEvacuation(const StoreObject& object)
+{
+    if (!object.name.starts_with(evacuationPrefix))
+        return std::nullopt;
+    return object.name.substr(evacuationPrefix.size());
+}
+
 } // namespace arbutuscrank::node
--- a/tests/entry/cold_targets_failure_test.cpp
+++ b/tests/entry/cold_targets_failure_test.cpp
@@ -119,20 +119,52 @@
     EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", turnedColdAt)), allowedRequests());
 }
 
-// Guards against a flood after a restart of the whole fleet: the entry of a target that turned cold just before does
-// not say so until the target's next heartbeat.
+// Guards against a flood after a restart of the whole fleet right at the end of an evacuation: no VM remembers the
+// evacuation, and the entries of the targets do not say that they are cold until their next heartbeat.
 TEST(ColdTargetFloodFailure, VmsThatHaveJustStartedKeepToTheRate)
 {
+    const auto vms = { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" };
+    const auto targets = { "t1", "t2", "t3" };
     Fleet fleet({ 4, 4 }, makePolicy());
     fleet.run(seconds(4), requestsPerSecond);
-    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
+    fleet.evacuate({ makeTarget("t1").failureDomain });
+    fleet.run(seconds(1), requestsPerSecond);
+    fleet.evacuate({});
+    for (const auto* vm : vms)
         fleet.start(vm);
     const auto startedAt = fleet.now;
     fleet.run(untilHeartbeat, requestsPerSecond);
-    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
-        fleet.raise(vm, TargetChanged { makeColdTarget("t1") });
+    for (const auto* vm : vms) {
+        for (const auto* target : targets)
+            fleet.raise(vm, TargetChanged { makeColdTarget(target) });
+    }
     fleet.run(coldTime - untilHeartbeat, requestsPerSecond);
-    EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", startedAt)), allowedRequests());
+    for (const auto* target : targets) {
+        EXPECT_LE(static_cast<double>(largestSecond(fleet, target, startedAt)), allowedRequests()) << target;
+        EXPECT_GT(largestSecond(fleet, target, startedAt), 0U) << target;
+    }
+}
+
+// Guards against records of evacuations that stay in the store, so that each start of a VM treats targets as cold.
+TEST(ColdTargetFloodFailure, RecordOfAnEvacuationIsRemovedOnceItsTargetsAreWarm)
+{
+    const auto failureDomain = makeTarget("t1").failureDomain;
+    Fleet fleet({ 4, 4 }, makePolicy());
+    fleet.run(seconds(4));
+    EXPECT_TRUE(fleet.evacuationRecords().empty());
+    fleet.evacuate({ failureDomain });
+    fleet.run(seconds(1));
+    EXPECT_EQ(fleet.evacuationRecords(), std::set<std::string> { failureDomain });
+    fleet.evacuate({});
+    fleet.run(coldTime - seconds(1));
+    EXPECT_EQ(fleet.evacuationRecords(), std::set<std::string> { failureDomain });
+    fleet.evacuate({ failureDomain });
+    fleet.run(coldTime);
+    EXPECT_EQ(fleet.evacuationRecords(), std::set<std::string> { failureDomain });
+    fleet.evacuate({});
+    fleet.run(coldTime + seconds(1));
+    EXPECT_TRUE(fleet.evacuationRecords().empty());
+    EXPECT_FALSE(fleet.at("a1").targets.find("t1")->isCold(fleet.now));
 }
 
 // Guards against a flood of a cold target in a region without VMs, to which every VM of the other regions may send.
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -55,9 +55,21 @@
         handle(entry, PolicyRead { m_policy });
         handle(entry, TargetsListed { { makeTarget("t1"), makeTarget("t2"), makeTarget("t3") } });
         handle(entry, MembersListed { m_records });
+        handle(entry, EvacuationsChanged { m_evacuations });
+        handle(entry, EvacuationRecordsChanged { m_evacuationRecords });
         handle(entry, StoreAnswered {});
     }
 
+    /// Sets the evacuated failure domains in the store. All VMs read them.
+    void evacuate(std::set<std::string> failureDomains)
+    {
+        m_evacuations = { m_evacuations.revision + 1, std::move(failureDomains) };
+        for (auto& [vm, entry] : m_entries)
+            handle(entry, EvacuationsChanged { m_evacuations });
+    }
+
+    [[nodiscard]] const std::set<std::string>& evacuationRecords() const { return m_evacuationRecords; }
+
     void kill(const VmId& vm) { m_entries.erase(vm); }
 
     /// Drops all datagrams that a VM sends, or delivers them again.
@@ -154,6 +166,10 @@
 
     void tickAll()
     {
+        if (std::exchange(m_haveRecordsChanged, false)) {
+            for (auto& [vm, entry] : m_entries)
+                handle(entry, EvacuationRecordsChanged { m_evacuationRecords });
+        }
         for (auto& [vm, entry] : m_entries) {
             handle(entry, PolicyConfirmed { now });
             if (!m_withSilentStore.contains(vm))
@@ -181,6 +197,12 @@
                     m_datagrams.push_back(
                         { now + milliseconds(1 + static_cast<int>(m_random.below(30))), receiver, it->message });
             }
+        } else if (const auto* added = std::get_if<RecordEvacuation>(&effect)) {
+            m_evacuationRecords.insert(added->failureDomain);
+            m_haveRecordsChanged = true;
+        } else if (const auto* removed = std::get_if<RemoveEvacuationRecord>(&effect)) {
+            m_evacuationRecords.erase(removed->failureDomain);
+            m_haveRecordsChanged = true;
         } else if (const auto* due = std::get_if<SetAdmissionTimer>(&effect)) {
             m_admissionTimers[{ vm, due->request }] = due->at;
         } else if (const auto* own = std::get_if<SendLocalAnswer>(&effect)) {
@@ -248,6 +270,9 @@
     std::map<std::string, double> m_namedLimits;
     std::set<VmId> m_blockedSenders;
     std::set<VmId> m_isolated;
+    EvacuationReading m_evacuations { .revision = 1 };
+    std::set<std::string> m_evacuationRecords; ///< in the store
+    bool m_haveRecordsChanged = false;
     std::set<VmId> m_withoutStore;
     std::set<VmId> m_withSilentStore;
     double m_lossRate = 0;
