Notice it when VMs are cut off together

Change: reports carry the age of the store's newest direct answer, which relaying does not renew, and digests the fraction of VMs that the coordinator has heard of within 0.5 s (0.7 s in other domains). A VM that hears few others treats targets as cold until it learns of a later answer of the store; its coordinator then reads the configuration again, so that VMs which only lost the others find out at once. Evidence: VmsThatAreCutOffTogetherKeepToTheRate sent 33 requests in a second before (17 allowed) and passes now.

--- a/include/arbutuscrank/entry/effects.hpp
+++ b/include/arbutuscrank/entry/effects.hpp
@@ -98,6 +98,10 @@
     std::string failureDomain;
 };
 
+/// \brief Repeats the read of the configuration now, instead of waiting for the current one, which may never be
+/// answered.
+struct RepeatPolicyRead { };
+
 /// \brief Writes a log line.
 struct WriteLog {
     LogEvent event {};
@@ -106,6 +110,6 @@
 
 using EntryEffect = std::variant<SendAttempt, CancelAttempt, DeliverAnswer, SendLocalAnswer, SetExpiryTimer,
     SetHedgeTimer, SetAdmissionTimer, CloseIdleConnections, SendMessage, RemoveRegistration, RecordEvacuation,
-    RemoveEvacuationRecord, WriteLog>;
+    RemoveEvacuationRecord, RepeatPolicyRead, WriteLog>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -141,7 +141,9 @@
 /// \brief A call to the store failed or timed out.
 struct StoreFailed { };
 /// \brief A call to the store succeeded.
-struct StoreAnswered { };
+struct StoreAnswered {
+    bool isDirect = true; ///< the store itself answered, not the coordinator's feed
+};
 
 struct VmReportReceived {
     VmReport report;
--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -67,6 +67,8 @@
     bool ready = false; ///< see \ref VmStatus::ready
     bool leaving = false;
     Duration storeUptime {}; ///< time since the store's first answer after its last failure; zero while it fails
+    /// Age of the store's newest answer to a call of this VM itself; std::nullopt if there was none
+    std::optional<Duration> storeContactAge;
     ServiceDemands demand;
     InFlightCounts inFlight;
     ColdTimes coldTargets;
@@ -87,6 +89,7 @@
     std::string failureDomain;
     std::string region;
     Duration storeUptime {}; ///< maximum over the VMs of the domain
+    std::optional<Duration> storeContactAge; ///< minimum over the VMs of the domain
     std::vector<VmStatus> vms; ///< the coordinator and the VMs whose reports are recent
     /// Newest report received from the coordinator of each other failure domain. A coordinator that finds its own
     /// report here knows that its admissions have been counted.
@@ -106,6 +109,8 @@
     std::uint64_t sequence = 0;
     bool leaving = false; ///< the coordinator is shutting down and another VM takes over
     Duration storeUptime {}; ///< maximum over all VMs
+    std::optional<Duration> storeContactAge; ///< minimum over all VMs
+    double heardFraction = 0; ///< fraction of the registered VMs that the coordinator has heard of lately, 0 to 1
     std::vector<VmStatus> vms; ///< all VMs of the fleet whose reports are recent
     std::map<std::string, ServiceDemands> demandByRegion;
     InFlightCounts inFlight; ///< sum over the fleet
--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -71,9 +71,6 @@
     [[nodiscard]] static bool isResponsive(
         const Member& member, TimePoint now, Duration maxAge = livenessTimeout) noexcept;
 
-    /// \brief Fraction of the registered VMs, including this one, that have been heard within \p maxAge.
-    [[nodiscard]] double heardFraction(TimePoint now, Duration maxAge) const;
-
     [[nodiscard]] const std::map<VmId, Member>& others() const noexcept { return m_members; }
     /// \brief Number of registered VMs, including this one.
     [[nodiscard]] std::size_t fleetSize() const noexcept { return m_members.size() + 1; }
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -70,6 +70,8 @@
     std::map<std::string, ServiceDemands> demandByRegion;
     InFlightCounts inFlight; ///< sum over the fleet, including this VM
     Duration storeUptime {}; ///< maximum over all VMs
+    std::optional<TimePoint> storeContactAt; ///< newest answer of the store to any VM
+    double heardFraction = 0; ///< see \ref Digest::heardFraction
     std::optional<TimePoint> receivedAt;
 };
 
@@ -104,6 +106,8 @@
     std::optional<TimePoint> lastTickAt;
     bool isStoreUnavailable = false;
     std::optional<TimePoint> storeAnsweredAt; ///< newest answer of the store, also through a feed
+    std::optional<TimePoint> storeContactAt; ///< newest answer of the store to a call of this VM itself
+    std::optional<TimePoint> fewHeardSince; ///< since then, most of the other VMs have not been heard
     std::optional<TimePoint> storeUpSince; ///< first answer of the store after its last failure
     bool refusesKeyedRequests = false; ///< the configuration is too old to authenticate API keys
     std::optional<TimePoint> stopRequestedAt;
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -138,13 +138,6 @@
     return member.lastSeenAt && now - *member.lastSeenAt < maxAge;
 }
 
-double MemberTable::heardFraction(TimePoint now, Duration maxAge) const
-{
-    const auto heard
-        = std::ranges::count_if(m_members, [&](const auto& item) { return isResponsive(item.second, now, maxAge); });
-    return static_cast<double>(heard + 1) / static_cast<double>(fleetSize());
-}
-
 std::uint64_t MemberTable::hashOf(const VmId& vm) noexcept { return XXH64(vm.data(), vm.size(), 0); }
 
 std::span<const std::uint64_t> MemberTable::vmHashesOfRegion(std::string_view region) const
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -41,9 +41,14 @@
     /// The store answers a watch of the configuration at least once in its wait. Without an answer for this multiple of
     /// it, the store counts as silent.
     constexpr double storeSilenceFactor = 1.25;
-    /// Time without a message of a VM that reads the store after which this VM may be cut off. Coordinators and their
-    /// VMs exchange messages every 200 ms, so two in a row are missing.
+    /// Time without a message of a VM after which it may be cut off from this VM. Coordinators and their VMs exchange
+    /// messages every 200 ms, so two in a row are missing.
     constexpr Duration contactTimeout = milliseconds(500);
+    /// The same for reports between coordinators, which are sent every 300 ms at most.
+    constexpr Duration domainContactTimeout = milliseconds(700);
+    /// Longest time that the news of an answer of the store takes to all VMs: a report within the failure domain, one
+    /// between coordinators and a digest, each at its regular interval.
+    constexpr Duration relayTime = milliseconds(700);
     /// If fewer VMs are heard, the others may read a store that is silent for all that are heard.
     constexpr double minHeardFraction = 0.9;
     /// Maximum age of the fleet load that the coordinator reported.
@@ -170,13 +175,17 @@
         return out;
     }
 
+    /// Time without an answer after which the store counts as silent.
+    Duration storeSilenceTimeout(const EntryState& state)
+    {
+        return std::chrono::duration_cast<Duration>(state.settings.bounds.policyWatchWait() * storeSilenceFactor);
+    }
+
     /// Whether the store answers this VM.
     bool readsStore(const EntryState& state, TimePoint now)
     {
         const auto silence = now - state.storeAnsweredAt.value_or(TimePoint {});
-        const auto maxSilence
-            = std::chrono::duration_cast<Duration>(state.settings.bounds.policyWatchWait() * storeSilenceFactor);
-        return !state.isStoreUnavailable && silence < maxSilence;
+        return !state.isStoreUnavailable && silence < storeSilenceTimeout(state);
     }
 
     Duration ownStoreUptime(const EntryState& state, TimePoint now)
@@ -184,6 +193,18 @@
         return state.storeUpSince && readsStore(state, now) ? now - *state.storeUpSince : Duration::zero();
     }
 
+    /// Adds the contact of a report that arrived at \p receivedAt.
+    void addStoreContact(std::optional<TimePoint>& newest, std::optional<Duration> age, TimePoint receivedAt)
+    {
+        if (age)
+            newest = std::max(newest.value_or(TimePoint::min()), receivedAt - *age);
+    }
+
+    std::optional<Duration> ageOf(std::optional<TimePoint> time, TimePoint now)
+    {
+        return time ? std::optional<Duration>(now - *time) : std::nullopt;
+    }
+
     /// Calls a function for each other VM of this failure domain whose report is younger than
     /// \ref MemberTable::relayMaxAge.
     template <typename Use> void forEachRelayedVm(const EntryState& state, TimePoint now, Use use)
@@ -195,6 +216,48 @@
         }
     }
 
+    /// Time of the store's newest answer to a VM of this failure domain, as far as this VM knows. Reports carry the age
+    /// of the answer itself, so that VMs which are cut off together do not keep the contact alive for each other.
+    std::optional<TimePoint> storeContactInDomain(const EntryState& state, TimePoint now)
+    {
+        auto newest = state.storeContactAt;
+        forEachRelayedVm(state, now, [&](const Member& member) {
+            addStoreContact(newest, member.report->storeContactAge, member.lastSeenAt.value_or(now));
+        });
+        return newest;
+    }
+
+    /// Time of the store's newest answer to any VM, as far as this VM knows.
+    std::optional<TimePoint> newestStoreContact(const EntryState& state, TimePoint now)
+    {
+        if (!state.coordination.isCoordinator())
+            return std::max(state.storeContactAt, state.fleetLoad.storeContactAt);
+        auto newest = storeContactInDomain(state, now);
+        for (const auto& [name, domain] : state.domainReports.all())
+            addStoreContact(newest, domain.report.storeContactAge, domain.receivedAt);
+        return newest;
+    }
+
+    /// Fraction of the registered VMs, including this one, that this VM or its coordinator has heard of lately.
+    double heardFraction(const EntryState& state, TimePoint now)
+    {
+        if (!state.coordination.isCoordinator()) {
+            const auto receivedAt = state.fleetLoad.receivedAt;
+            return receivedAt && now - *receivedAt < contactTimeout ? state.fleetLoad.heardFraction : 0;
+        }
+        std::size_t heard = 1;
+        for (const auto& [vm, member] : state.members.others()) {
+            if (member.record.failureDomain == state.settings.failureDomain
+                && MemberTable::isResponsive(member, now, contactTimeout))
+                ++heard;
+        }
+        for (const auto& [name, domain] : state.domainReports.all()) {
+            if (name != state.settings.failureDomain && now - domain.receivedAt < domainContactTimeout)
+                heard += domain.report.vms.size();
+        }
+        return static_cast<double>(heard) / static_cast<double>(state.members.fleetSize());
+    }
+
     /// Whether look-ups should return this VM: it is ready, and its configuration will not become outdated soon.
     bool shouldReceiveCallers(const EntryState& state, TimePoint now)
     {
@@ -219,6 +282,7 @@
             .failureDomain = state.settings.failureDomain,
             .region = state.settings.region,
             .storeUptime = ownStoreUptime(state, now),
+            .storeContactAge = ageOf(storeContactInDomain(state, now), now),
             .vms = { ownStatus(state, now) },
             .demand = ownDemand(state),
             .inFlight = ownInFlight(state),
@@ -248,6 +312,8 @@
             .sequence = own.sequence,
             .leaving = state.stopRequestedAt.has_value(),
             .storeUptime = own.storeUptime,
+            .storeContactAge = ageOf(newestStoreContact(state, now), now),
+            .heardFraction = heardFraction(state, now),
             .vms = own.vms,
             .demandByRegion = { { own.region, own.demand } },
             .inFlight = own.inFlight,
@@ -345,6 +411,7 @@
             .ready = status.ready,
             .leaving = status.leaving,
             .storeUptime = ownStoreUptime(state, now),
+            .storeContactAge = ageOf(state.storeContactAt, now),
             .demand = ownDemand(state),
             .inFlight = state.reportedInFlight,
             .coldTargets = ownColdTimes(state, now),
@@ -428,24 +495,6 @@
         }
     }
 
-    /// Newest time at which this VM, or another one that reads the store, was in contact with this VM.
-    TimePoint newestStoreContact(const EntryState& state, TimePoint now)
-    {
-        auto newest = readsStore(state, now) ? *state.storeAnsweredAt : TimePoint {};
-        const auto add = [&](Duration storeUptime, std::optional<TimePoint> receivedAt) {
-            if (storeUptime > Duration::zero() && receivedAt)
-                newest = std::max(newest, *receivedAt);
-        };
-        if (!state.coordination.isCoordinator()) {
-            add(state.fleetLoad.storeUptime, state.fleetLoad.receivedAt);
-            return newest;
-        }
-        forEachRelayedVm(state, now, [&](const Member& member) { add(member.report->storeUptime, member.lastSeenAt); });
-        for (const auto& [name, domain] : state.domainReports.all())
-            add(domain.report.storeUptime, domain.receivedAt);
-        return newest;
-    }
-
     /// As coordinator, requests the removal of unresponsive VMs of the own failure domain. The first reachable domain
     /// by name also removes the VMs of failure domains that are unreachable as a whole.
     void removeUnresponsiveMembers(EntryState& state, TimePoint now, Effects& out)
@@ -484,13 +533,20 @@
 {
     // VMs that are not heard may read the store, and so learn of targets that turn cold. If nearly all VMs are heard
     // and none of them reads it, the store is down for all, and no evacuation can start or end.
-    const bool isUnknown = now - newestStoreContact(state, now) >= contactTimeout
-        && state.members.heardFraction(now, contactTimeout) < minHeardFraction;
+    if (heardFraction(state, now) >= minHeardFraction)
+        state.fewHeardSince.reset();
+    else if (!state.fewHeardSince)
+        state.fewHeardSince = now;
+    const auto maxContactAge = storeSilenceTimeout(state) + relayTime;
+    const auto contactAt = newestStoreContact(state, now).value_or(TimePoint {});
+    const bool isUnknown = state.fewHeardSince && (contactAt < *state.fewHeardSince || now - contactAt > maxContactAge);
     if (isUnknown == state.targets.isColdnessUnknown())
         return;
     out.push_back(WriteLog { LogEvent::ColdnessUnknown, fmt::format("unknown={}", isUnknown) });
     state.targets.setColdnessUnknown(isUnknown);
     updateRateShares(state.targets, state.policy, state.members, now);
+    if (isUnknown && state.coordination.isCoordinator())
+        out.push_back(RepeatPolicyRead {});
 }
 
 void updateCoordination(EntryState& state, TimePoint now, Effects& out)
@@ -589,7 +645,12 @@
     adoptEvacuations(state, digest.evacuations, now, out);
     (void)applyColdTimes(state, digest.coldTargets, now, out);
     (void)applyNamedRates(state, digest.namedRates, now, out);
-    state.fleetLoad = { digest.demandByRegion, digest.inFlight, digest.storeUptime, now };
+    state.fleetLoad = { .demandByRegion = digest.demandByRegion,
+        .inFlight = digest.inFlight,
+        .storeUptime = digest.storeUptime,
+        .heardFraction = digest.heardFraction,
+        .receivedAt = now };
+    addStoreContact(state.fleetLoad.storeContactAt, digest.storeContactAge, now);
     updateColdnessKnowledge(state, now, out);
 }
 
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -196,10 +196,12 @@
     state.storeUpSince.reset();
 }
 
-void apply(EntryState& state, const StoreAnswered&, TimePoint now, Effects& out)
+void apply(EntryState& state, const StoreAnswered& event, TimePoint now, Effects& out)
 {
     state.targets.recordStoreSuccess(now);
     state.storeAnsweredAt = now;
+    if (event.isDirect)
+        state.storeContactAt = now;
     if (state.isStoreUnavailable)
         out.push_back(WriteLog { LogEvent::StoreRecovered, "peer=" + state.settings.storeAddress });
     state.isStoreUnavailable = false;
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -75,7 +75,7 @@
         .onConfirmed =
             [this, collection](TimePoint sentAt) {
                 m_readConfirmedAt[collection] = sentAt;
-                dispatch(entry::StoreAnswered {});
+                dispatch(entry::StoreAnswered { .isDirect = m_store->source().empty() });
                 if (collection == Collection::Policy && m_state.policy.policy().version != 0)
                     dispatch(entry::PolicyConfirmed { sentAt });
                 if (collection == Collection::Policy && m_mustListAfterFailure)
@@ -289,6 +289,12 @@
 
 void EntryNode::perform(const entry::RemoveRegistration& effect) { removeMemberObject(effect.vm); }
 
+void EntryNode::perform(const entry::RepeatPolicyRead&)
+{
+    if (m_hasStartedReaders && m_store->source().empty())
+        m_readers.at(Collection::Policy)->restart();
+}
+
 void EntryNode::perform(const entry::RecordEvacuation& effect)
 {
     // If the call fails, the coordinator requests the record again.
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -175,11 +175,19 @@
         return out;
     }
 
+    Json encodeAge(std::optional<Duration> age) { return age ? encodeDuration(*age) : Json(); }
+
+    std::optional<Duration> decodeAge(const Json& json)
+    {
+        return json.is_null() ? std::nullopt : std::optional(decodeDuration(json));
+    }
+
     Json encode(const entry::VmReport& it)
     {
         return { MessageKind::VmReport, encodeProcess(it.process), it.sequence, it.ready, it.leaving,
             encodeDuration(it.storeUptime), encodeDemand(it.demand), encodeInFlight(it.inFlight),
-            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates) };
+            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates),
+            encodeAge(it.storeContactAge) };
     }
 
     Json encode(const entry::DomainReport& it)
@@ -187,7 +195,8 @@
         return { MessageKind::DomainReport, encodeProcess(it.coordinator), it.sequence, it.failureDomain, it.region,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), encodeAccounts(it.accounts),
             encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeReceivedReports(it.acknowledgedReports),
-            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates) };
+            encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates),
+            encodeAge(it.storeContactAge) };
     }
 
     Json encode(const entry::Digest& it)
@@ -201,7 +210,7 @@
         return { MessageKind::Digest, encodeProcess(it.coordinator), it.sequence, it.leaving,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), std::move(demand), encodeInFlight(it.inFlight),
             std::move(domains), encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations),
-            encodeNamedRates(it.namedRates) };
+            encodeNamedRates(it.namedRates), encodeAge(it.storeContactAge), it.heardFraction };
     }
 
     Json encode(const entry::AdmissionRequest& it)
@@ -223,6 +232,7 @@
             .ready = json.at(3).get<bool>(),
             .leaving = json.at(4).get<bool>(),
             .storeUptime = decodeDuration(json.at(5)),
+            .storeContactAge = decodeAge(json.at(11)),
             .demand = decodeDemand(json.at(6)),
             .inFlight = decodeInFlight(json.at(7)),
             .coldTargets = decodeColdTimes(json.at(8)),
@@ -237,6 +247,7 @@
             .failureDomain = json.at(3).get<std::string>(),
             .region = json.at(4).get<std::string>(),
             .storeUptime = decodeDuration(json.at(5)),
+            .storeContactAge = decodeAge(json.at(14)),
             .vms = decodeStatuses(json.at(6)),
             .acknowledgedReports = decodeReceivedReports(json.at(10)),
             .accounts = decodeAccounts(json.at(7)),
@@ -253,6 +264,8 @@
             .sequence = json.at(2).get<std::uint64_t>(),
             .leaving = json.at(3).get<bool>(),
             .storeUptime = decodeDuration(json.at(4)),
+            .storeContactAge = decodeAge(json.at(12)),
+            .heardFraction = json.at(13).get<double>(),
             .vms = decodeStatuses(json.at(5)),
             .inFlight = decodeInFlight(json.at(7)),
             .coldTargets = decodeColdTimes(json.at(9)),
--- a/tests/entry/cold_targets_failure_test.cpp
+++ b/tests/entry/cold_targets_failure_test.cpp
@@ -119,6 +119,27 @@
     EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", turnedColdAt)), allowedRequests());
 }
 
+// Guards against a flood from VMs that are cut off together: they hear each other, and none of them reads the store.
+TEST(ColdTargetFloodFailure, VmsThatAreCutOffTogetherKeepToTheRate)
+{
+    constexpr Duration untilNoticed = seconds(1);
+    constexpr double peakRequestsPerSecond = 150;
+    auto policy = makePolicy();
+    policy.accounts.front().ratePerSecond = 0; // no request waits for a coordinator
+    Fleet fleet({ 4, 4, 2 }, policy);
+    fleet.run(seconds(4), peakRequestsPerSecond);
+    for (const auto* vm : { "c1", "c2" })
+        fleet.isolate(vm);
+    for (const auto* vm : { "a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4" })
+        fleet.silenceStore(vm);
+    fleet.run(untilNoticed, peakRequestsPerSecond);
+    const auto turnedColdAt = fleet.now;
+    for (const auto* vm : { "c1", "c2" })
+        fleet.raise(vm, TargetChanged { makeColdTarget("t1") });
+    fleet.run(coldTime, peakRequestsPerSecond);
+    EXPECT_LE(static_cast<double>(largestSecond(fleet, "t1", turnedColdAt)), allowedRequests());
+}
+
 // Guards against a flood after a restart of the whole fleet right at the end of an evacuation: no VM remembers the
 // evacuation, and the entries of the targets do not say that they are cold until their next heartbeat.
 TEST(ColdTargetFloodFailure, VmsThatHaveJustStartedKeepToTheRate)
--- a/tests/node/message_codec_test.cpp
+++ b/tests/node/message_codec_test.cpp
@@ -26,6 +26,7 @@
         .failureDomain = "north-a",
         .region = "north",
         .storeUptime = std::chrono::milliseconds(1500),
+        .storeContactAge = std::chrono::milliseconds(40),
         .vms = { { "vm1", true, false }, { "vm2", false, true } },
         .acknowledgedReports = { { "south-a", { 9, 12 } } },
         .accounts = { { "acme", { 40, 2.5 } } },
@@ -36,6 +37,7 @@
     EXPECT_EQ(it.sequence, 5U);
     EXPECT_EQ(it.failureDomain, "north-a");
     EXPECT_EQ(it.storeUptime, report.storeUptime);
+    EXPECT_EQ(it.storeContactAge, report.storeContactAge);
     EXPECT_EQ(it.vms, report.vms);
     EXPECT_EQ(it.acknowledgedReports.at("south-a").sequence, 12U);
     EXPECT_EQ(it.accounts.at("acme").admitted, 40U);
