Bound the VMs that call a failing store by the failure domains

Change: a decision of its own, store_source. Coordinators that lose the store read, and announce, the feed of a VM that reads it; VMs wait for that feed or for the successor of a coordinator that has ended; two deputies of each domain look for a way to the store if there is no feed. While the policy cannot be read, the other collections are not tried.

--- a/include/arbutuscrank/entry.hpp
+++ b/include/arbutuscrank/entry.hpp
@@ -15,6 +15,7 @@
 #include <arbutuscrank/entry/retry_limit.hpp>
 #include <arbutuscrank/entry/settings.hpp>
 #include <arbutuscrank/entry/state.hpp>
+#include <arbutuscrank/entry/store_source.hpp>
 #include <arbutuscrank/entry/target_health.hpp>
 #include <arbutuscrank/entry/target_selection.hpp>
 #include <arbutuscrank/entry/targets.hpp>
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -140,6 +140,10 @@
 
 /// \brief A call to the store failed or timed out.
 struct StoreFailed { };
+/// \brief A read of another VM's feed failed.
+struct FeedFailed {
+    bool isSilent = false; ///< the feed did not answer in time
+};
 /// \brief A call to the store succeeded.
 struct StoreAnswered {
     bool isDirect = true; ///< the store itself answered, not the coordinator's feed
@@ -172,7 +176,7 @@
 
 using EntryEvent = std::variant<RequestArrived, CallerDisconnected, AttemptAnswered, AttemptFailed, RequestExpired,
     AdmissionTimedOut, HedgeDue, PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved,
-    EvacuationsChanged, EvacuationRecordsChanged, MembersListed, MemberChanged, MemberRemoved, StoreFailed,
+    EvacuationsChanged, EvacuationRecordsChanged, MembersListed, MemberChanged, MemberRemoved, StoreFailed, FeedFailed,
     StoreAnswered, VmReportReceived, DomainReportReceived, DigestReceived, AdmissionRequestReceived,
     AdmissionDecisionReceived, TokenReturnReceived, Tick, StopRequested>;
 
--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -69,6 +69,7 @@
     Duration storeUptime {}; ///< time since the store's first answer after its last failure; zero while it fails
     /// Age of the store's newest answer to a call of this VM itself; std::nullopt if there was none
     std::optional<Duration> storeContactAge;
+    bool servesFeed = false; ///< other VMs may read this VM's feed
     ServiceDemands demand;
     InFlightCounts inFlight;
     ColdTimes coldTargets;
@@ -90,6 +91,7 @@
     std::string region;
     Duration storeUptime {}; ///< maximum over the VMs of the domain
     std::optional<Duration> storeContactAge; ///< minimum over the VMs of the domain
+    bool servesFeed = false; ///< other VMs may read the coordinator's feed
     std::vector<VmStatus> vms; ///< the coordinator and the VMs whose reports are recent
     /// Newest report received from the coordinator of each other failure domain. A coordinator that finds its own
     /// report here knows that its admissions have been counted.
@@ -110,6 +112,7 @@
     bool leaving = false; ///< the coordinator is shutting down and another VM takes over
     Duration storeUptime {}; ///< maximum over all VMs
     std::optional<Duration> storeContactAge; ///< minimum over all VMs
+    VmId feed; ///< VM whose feed is to be read because the coordinator has lost the store; empty: the coordinator
     double heardFraction = 0; ///< fraction of the registered VMs that the coordinator has heard of lately, 0 to 1
     std::vector<VmStatus> vms; ///< all VMs of the fleet whose reports are recent
     std::map<std::string, ServiceDemands> demandByRegion;
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -8,6 +8,7 @@
 #include <arbutuscrank/entry/quota_sharing.hpp>
 #include <arbutuscrank/entry/retry_limit.hpp>
 #include <arbutuscrank/entry/settings.hpp>
+#include <arbutuscrank/entry/store_source.hpp>
 #include <arbutuscrank/entry/target_selection.hpp>
 
 #include <map>
@@ -72,6 +73,7 @@
     Duration storeUptime {}; ///< maximum over all VMs
     std::optional<TimePoint> storeContactAt; ///< newest answer of the store to any VM
     double heardFraction = 0; ///< see \ref Digest::heardFraction
+    VmId feed; ///< see \ref Digest::feed
     std::optional<TimePoint> receivedAt;
 };
 
@@ -104,6 +106,7 @@
     std::optional<TimePoint> lastReportAt; ///< last report to the other coordinators, or to the own one
     InFlightCounts reportedInFlight; ///< this VM's in-flight attempts as of its last report
     std::optional<TimePoint> lastTickAt;
+    StoreSource storeSource;
     bool isStoreUnavailable = false;
     std::optional<TimePoint> storeAnsweredAt; ///< newest answer of the store, also through a feed
     std::optional<TimePoint> storeContactAt; ///< newest answer of the store to a call of this VM itself
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -283,6 +283,7 @@
             .region = state.settings.region,
             .storeUptime = ownStoreUptime(state, now),
             .storeContactAge = ageOf(storeContactInDomain(state, now), now),
+            .servesFeed = servesFeed(state, now),
             .vms = { ownStatus(state, now) },
             .demand = ownDemand(state),
             .inFlight = ownInFlight(state),
@@ -313,6 +314,7 @@
             .leaving = state.stopRequestedAt.has_value(),
             .storeUptime = own.storeUptime,
             .storeContactAge = ageOf(newestStoreContact(state, now), now),
+            .feed = state.storeSource.announcedFeed,
             .heardFraction = heardFraction(state, now),
             .vms = own.vms,
             .demandByRegion = { { own.region, own.demand } },
@@ -412,6 +414,7 @@
             .leaving = status.leaving,
             .storeUptime = ownStoreUptime(state, now),
             .storeContactAge = ageOf(state.storeContactAt, now),
+            .servesFeed = servesFeed(state, now),
             .demand = ownDemand(state),
             .inFlight = state.reportedInFlight,
             .coldTargets = ownColdTimes(state, now),
@@ -649,6 +652,7 @@
         .inFlight = digest.inFlight,
         .storeUptime = digest.storeUptime,
         .heardFraction = digest.heardFraction,
+        .feed = digest.feed,
         .receivedAt = now };
     addStoreContact(state.fleetLoad.storeContactAt, digest.storeContactAge, now);
     updateColdnessKnowledge(state, now, out);
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -187,8 +187,9 @@
     out.push_back(WriteLog { LogEvent::MemberGone, fmt::format("member={}", event.vm) });
 }
 
-void apply(EntryState& state, const StoreFailed&, TimePoint, Effects& out)
+void apply(EntryState& state, const StoreFailed&, TimePoint now, Effects& out)
 {
+    state.storeSource.storeFailedAt = now;
     state.targets.recordStoreFailure();
     if (!state.isStoreUnavailable)
         out.push_back(WriteLog { LogEvent::StoreFailed, "peer=" + state.settings.storeAddress });
@@ -200,8 +201,13 @@
 {
     state.targets.recordStoreSuccess(now);
     state.storeAnsweredAt = now;
-    if (event.isDirect)
+    if (event.isDirect) {
         state.storeContactAt = now;
+        state.storeSource.storeFailedAt.reset();
+        state.storeSource.announcedFeed.clear();
+    } else {
+        state.storeSource.feedFailingSince.reset();
+    }
     if (state.isStoreUnavailable)
         out.push_back(WriteLog { LogEvent::StoreRecovered, "peer=" + state.settings.storeAddress });
     state.isStoreUnavailable = false;
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -26,6 +26,7 @@
 void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const MemberChanged& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const MemberRemoved& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const FeedFailed& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StoreFailed& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StoreAnswered& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const VmReportReceived& event, TimePoint now, Effects& out);
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -124,7 +124,6 @@
     std::map<Collection, std::shared_ptr<CollectionReader>> m_readers;
     TimePoint m_startedAt {};
     bool m_hasStartedReaders = false; ///< whether all readers run; at first, only the reader of members does
-    std::optional<TimePoint> m_directReadsUntil; ///< the store is read directly until then, because the feed has failed
     std::map<std::string, ObjectVersion> m_memberRevisions; ///< of registrations and of evacuation records
     std::set<std::string> m_evacuationRecords; ///< failure domains with a record in the store
     std::set<std::string> m_evacuations;
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -14,8 +14,6 @@
 
     using std::chrono::milliseconds;
 
-    /// Time for which a VM reads the store directly after its coordinator's feed has failed.
-    constexpr Duration directReadTime = std::chrono::seconds(4);
     /// Time for which a starting VM retries an unreachable feed, because its coordinator may be starting too.
     constexpr Duration coordinatorStartTimeout = milliseconds(1500);
 
@@ -46,15 +44,10 @@
 
 void EntryNode::updateStoreSource()
 {
-    const auto& coordination = m_state.coordination;
-    if (!coordination.isCoordinator() && coordination.followedCoordinator().empty())
+    if (!entry::updateStoreSource(m_state, currentTime()))
         return; // no coordinator is known yet
-    const auto now = currentTime();
-    const bool readsDirectly = coordination.isCoordinator() || (m_directReadsUntil && now < *m_directReadsUntil);
-    std::string source;
-    if (const auto it = m_state.members.others().find(coordination.followedCoordinator());
-        !readsDirectly && it != m_state.members.others().end())
-        source = it->second.record.reportAddress;
+    const auto it = m_state.members.others().find(m_state.storeSource.feed);
+    const std::string source = it == m_state.members.others().end() ? std::string() : it->second.record.reportAddress;
     if (m_hasStartedReaders && source == m_store->source())
         return;
     for (const auto& [collection, reader] : m_readers)
@@ -102,6 +95,9 @@
         log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
     if (collection == Collection::Policy)
         m_mustListAfterFailure = true;
+    else if (m_mustListAfterFailure)
+        m_readers.at(collection)->stop(); // listed again once the policy is read, so that one reader tries the store
+    updateStoreSource();
 }
 
 void EntryNode::listAfterFailure()
@@ -118,14 +114,14 @@
 {
     if (error.code == ErrorCode::NotFound)
         return; // the reader lists the collection again
-    // While this VM starts, its coordinator may be starting too, so the reader retries the feed. Later, this VM reads
-    // the store directly as soon as the feed fails.
+    // While this VM starts, its coordinator may be starting too, so the reader retries the feed.
     const bool isStarting
         = m_state.policy.policy().version == 0 && currentTime() - m_startedAt < coordinatorStartTimeout;
     if (isStarting && error.code == ErrorCode::Unavailable)
         return;
-    log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
-    m_directReadsUntil = currentTime() + directReadTime;
+    if (!m_state.storeSource.feedFailingSince)
+        log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
+    dispatch(entry::FeedFailed { .isSilent = error.code == ErrorCode::Timeout });
     updateStoreSource();
 }
 
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -187,7 +187,7 @@
         return { MessageKind::VmReport, encodeProcess(it.process), it.sequence, it.ready, it.leaving,
             encodeDuration(it.storeUptime), encodeDemand(it.demand), encodeInFlight(it.inFlight),
             encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates),
-            encodeAge(it.storeContactAge) };
+            encodeAge(it.storeContactAge), it.servesFeed };
     }
 
     Json encode(const entry::DomainReport& it)
@@ -196,7 +196,7 @@
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), encodeAccounts(it.accounts),
             encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeReceivedReports(it.acknowledgedReports),
             encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates),
-            encodeAge(it.storeContactAge) };
+            encodeAge(it.storeContactAge), it.servesFeed };
     }
 
     Json encode(const entry::Digest& it)
@@ -210,7 +210,7 @@
         return { MessageKind::Digest, encodeProcess(it.coordinator), it.sequence, it.leaving,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), std::move(demand), encodeInFlight(it.inFlight),
             std::move(domains), encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations),
-            encodeNamedRates(it.namedRates), encodeAge(it.storeContactAge), it.heardFraction };
+            encodeNamedRates(it.namedRates), encodeAge(it.storeContactAge), it.heardFraction, it.feed };
     }
 
     Json encode(const entry::AdmissionRequest& it)
@@ -233,6 +233,7 @@
             .leaving = json.at(4).get<bool>(),
             .storeUptime = decodeDuration(json.at(5)),
             .storeContactAge = decodeAge(json.at(11)),
+            .servesFeed = json.at(12).get<bool>(),
             .demand = decodeDemand(json.at(6)),
             .inFlight = decodeInFlight(json.at(7)),
             .coldTargets = decodeColdTimes(json.at(8)),
@@ -248,6 +249,7 @@
             .region = json.at(4).get<std::string>(),
             .storeUptime = decodeDuration(json.at(5)),
             .storeContactAge = decodeAge(json.at(14)),
+            .servesFeed = json.at(15).get<bool>(),
             .vms = decodeStatuses(json.at(6)),
             .acknowledgedReports = decodeReceivedReports(json.at(10)),
             .accounts = decodeAccounts(json.at(7)),
@@ -265,6 +267,7 @@
             .leaving = json.at(3).get<bool>(),
             .storeUptime = decodeDuration(json.at(4)),
             .storeContactAge = decodeAge(json.at(12)),
+            .feed = json.at(14).get<VmId>(),
             .heardFraction = json.at(13).get<double>(),
             .vms = decodeStatuses(json.at(5)),
             .inFlight = decodeInFlight(json.at(7)),
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -105,6 +105,9 @@
         raise(vm, StoreFailed {});
     }
 
+    /// Lets the store answer a VM again.
+    void returnStore(const VmId& vm) { m_withoutStore.erase(vm); }
+
     /// Lets the calls of a VM to the store hang until it is started again.
     void silenceStore(const VmId& vm) { m_withSilentStore.insert(vm); }
 
@@ -124,6 +127,7 @@
     }
 
     [[nodiscard]] EntryState& at(const VmId& vm) { return m_entries.at(vm); }
+    [[nodiscard]] const std::map<VmId, EntryState>& all() const { return m_entries; }
     [[nodiscard]] std::vector<VmId> coordinators(const std::string& domain) const
     {
         std::vector<VmId> out;
@@ -139,6 +143,7 @@
     std::map<std::string, std::vector<TimePoint>> sendTimes; ///< the same by ID of the target
     std::map<std::uint32_t, std::size_t> refusalsByStatus;
     std::size_t requestCount = 0;
+    std::size_t storeReads = 0; ///< reads of the store itself; a VM reads once in each tick
 
 private:
     struct Datagram {
@@ -172,12 +177,34 @@
         }
         for (auto& [vm, entry] : m_entries) {
             handle(entry, PolicyConfirmed { now });
-            if (!m_withSilentStore.contains(vm))
-                handle(entry, m_withoutStore.contains(vm) ? EntryEvent(StoreFailed {}) : EntryEvent(StoreAnswered {}));
+            readStore(vm, entry);
             handle(entry, Tick {});
         }
     }
 
+    [[nodiscard]] bool canReach(const VmId& from, const VmId& to) const
+    {
+        return m_entries.contains(to) && !m_isolated.contains(from) && !m_isolated.contains(to);
+    }
+
+    /// Reads the store, or the feed of the VM that the entry has chosen, which answers if it reads the store.
+    void readStore(const VmId& vm, EntryState& entry)
+    {
+        (void)updateStoreSource(entry, now);
+        const auto feed = entry.storeSource.feed;
+        const auto& reader = feed.empty() ? vm : feed;
+        if (feed.empty())
+            ++storeReads;
+        if (m_withSilentStore.contains(reader))
+            return;
+        const bool isAnswered = !m_withoutStore.contains(reader)
+            && (feed.empty() || (canReach(vm, feed) && m_entries.at(feed).storeSource.feed.empty()));
+        if (isAnswered)
+            handle(entry, StoreAnswered { .isDirect = feed.empty() });
+        else
+            handle(entry, feed.empty() ? EntryEvent(StoreFailed {}) : EntryEvent(FeedFailed {}));
+    }
+
     void handle(EntryState& entry, const EntryEvent& event)
     {
         std::vector<EntryEffect> effects;
