Keep to the announced feed, and call a returning store from few VMs

Change: VMs stay with the announced feed and retry it; they read the store themselves only if it has answered some VM without a failure for two seconds and their feed still fails; a late feed counts as a failed one.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -141,9 +141,7 @@
 /// \brief A call to the store failed or timed out.
 struct StoreFailed { };
 /// \brief A read of another VM's feed failed.
-struct FeedFailed {
-    bool isSilent = false; ///< the feed did not answer in time
-};
+struct FeedFailed { };
 /// \brief A call to the store succeeded.
 struct StoreAnswered {
     bool isDirect = true; ///< the store itself answered, not the coordinator's feed
--- a/src/entry/store_source.cpp
+++ b/src/entry/store_source.cpp
@@ -28,7 +28,8 @@
     /// Time for which deputies wait for a working feed. The coordinator names one within a tick, and another VM takes
     /// over from a coordinator that has ended within 0.9 s.
     constexpr Duration deputyWait = seconds(1);
-    /// Time for which the other VMs wait, if the store answers some VM.
+    /// Time for which the other VMs wait while the store answers some VM. A store that returns is read by the
+    /// coordinators within this time.
     constexpr Duration lastResortWait = seconds(2);
     /// Age of the fleet's newest contact with the store up to which the store counts as available to some VM.
     constexpr Duration maxContactAge = milliseconds(1500);
@@ -107,8 +108,9 @@
         source.announcedFeed.clear();
         if (!source.readsStoreUntil && source.feedFailingSince) {
             const auto failingTime = now - *source.feedFailingSince;
-            const bool isStoreAvailable
-                = state.fleetLoad.storeContactAt && now - *state.fleetLoad.storeContactAt < maxContactAge;
+            const bool isStoreAvailable = state.fleetLoad.storeContactAt
+                && now - *state.fleetLoad.storeContactAt < maxContactAge
+                && state.fleetLoad.storeUptime >= lastResortWait;
             if ((failingTime >= deputyWait && isDeputy(state)) || (failingTime >= lastResortWait && isStoreAvailable))
                 source.readsStoreUntil = now + directTime;
         }
@@ -121,8 +123,7 @@
         const auto& feed = state.fleetLoad.feed;
         if (feed == state.members.self().process.vm)
             return {}; // the coordinator reads this VM's feed
-        const bool isFeedKnown = state.members.others().contains(feed) && !hasFailed(source, feed, now);
-        return isFeedKnown ? feed : state.coordination.followedCoordinator();
+        return state.members.others().contains(feed) ? feed : state.coordination.followedCoordinator();
     }
 
 } // namespace
@@ -145,7 +146,7 @@
         && now - *state.storeContactAt < maxContactAge;
 }
 
-void apply(EntryState& state, const FeedFailed& event, TimePoint now, Effects&)
+void apply(EntryState& state, const FeedFailed&, TimePoint now, Effects&)
 {
     auto& source = state.storeSource;
     if (source.feed.empty())
@@ -153,10 +154,6 @@
     source.feedFailedAt[source.feed] = now;
     if (!source.feedFailingSince)
         source.feedFailingSince = now;
-    // A feed that does not answer may stay silent while its VM's datagrams arrive. One that refuses reads, or whose VM
-    // has ended, is replaced by the coordinator or by its successor.
-    if (event.isSilent && !state.coordination.isCoordinator())
-        source.readsStoreUntil = now + directTime;
 }
 
 } // namespace arbutuscrank::entry
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -121,7 +121,7 @@
         return;
     if (!m_state.storeSource.feedFailingSince)
         log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
-    dispatch(entry::FeedFailed { .isSilent = error.code == ErrorCode::Timeout });
+    dispatch(entry::FeedFailed {});
     updateStoreSource();
 }
 
--- a/tests/entry/store_source_failure_test.cpp
+++ b/tests/entry/store_source_failure_test.cpp
@@ -91,6 +91,20 @@
     EXPECT_LE(mostReadersOfStore(seconds(10)), domains * searchersPerDomain);
 }
 
+// Guards against calls of every VM when the store returns after an outage, before the coordinators have read it.
+TEST_F(StoreSourceFailure, FewVmsCallAStoreThatReturns)
+{
+    for (const char domain : { 'a', 'b', 'c' })
+        loseStore(domain);
+    fleet.run(seconds(5));
+    for (const char domain : { 'a', 'b', 'c' }) {
+        for (int i = 1; i <= vmsPerDomain; ++i)
+            fleet.returnStore(std::string(1, domain) + std::to_string(i));
+    }
+    EXPECT_LE(mostReadersOfStore(seconds(3)), domains * searchersPerDomain);
+    expectAnswered(seconds(1));
+}
+
 // Guards against a fleet without the store although some VMs that do not coordinate could read it.
 TEST_F(StoreSourceFailure, DeputyThatReachesTheStoreServesItsDomain)
 {
