--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -52,7 +52,8 @@
 /// \brief Applies a reading of the evacuated failure domains unless a newer one has been applied.
 void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out);
 
-/// \brief Treats targets as cold whose failure domain was evacuated until lately, according to the records in the store.
+/// \brief Treats targets as cold whose failure domain was evacuated until lately, according to the records in the
+/// store.
 void applyEvacuationRecords(EntryState& state, TimePoint now, Effects& out);
 
 /// \brief As the responsible coordinator, requests the records of evacuations that are missing in the store, and the
