--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -8,12 +8,12 @@
 #include <memory>
 
 /// \file
-/// \brief Shares reads of the store in a failure domain: the coordinator reads the store, and the other VMs read the
-/// coordinator's feed.
+/// \brief Shares reads of the store: a few VMs, usually the coordinators, read the store, and the others read a feed of
+/// one of them.
 
 namespace arbutuscrank::node {
 
-/// \brief Reads from the coordinator's feed if a source is set, else from the platform's store. Writes always go to the
+/// \brief Reads from another VM's feed if a source is set, else from the platform's store. Writes always go to the
 /// platform's store.
 ///
 /// Reads from the platform's store are cached and served to other VMs as a feed, together with the time as of which the
@@ -32,9 +32,9 @@
     void close() { m_server.close(); }
 
     /// \brief Reports that a read of the platform's store failed. The feed refuses reads until the store confirms the
-    /// policy again, and waiting watches fail at once, so that readers of the feed turn to the store. The feed serves
-    /// the collection only after it has been read again; after a failed read of the policy, which is read most often,
-    /// that holds for every collection.
+    /// policy again, and waiting watches fail at once, so that readers of the feed look for another source. The feed
+    /// serves the collection only after it has been read again; after a failed read of the policy, which is read most
+    /// often, that holds for every collection.
     void invalidateFeed(Collection failed);
 
     /// \brief Number of calls sent to the platform's store.
