Read the store if one collection of the feed keeps failing

Cause, first part: an answer for any collection ended the failure of the feed, so a VM whose configuration alone timed out retried for ever. Change: the failure ends when the newest read of each collection has succeeded; lists may take 1.5 s; VMs turn to the store after 1.5 s. Test: VmReadsTheStoreIfOneCollectionOfTheFeedKeepsFailing failed before.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -144,7 +144,8 @@
 struct FeedFailed { };
 /// \brief A call to the store succeeded.
 struct StoreAnswered {
-    bool isDirect = true; ///< the store itself answered, not the coordinator's feed
+    bool isDirect = true; ///< the store itself answered, not another VM's feed
+    bool isComplete = true; ///< the newest read of each collection has succeeded
 };
 
 struct VmReportReceived {
--- a/src/entry/store_source.cpp
+++ b/src/entry/store_source.cpp
@@ -30,7 +30,7 @@
     constexpr Duration deputyWait = seconds(1);
     /// Time for which the other VMs wait while the store answers some VM. A store that returns is read by the
     /// coordinators within this time.
-    constexpr Duration lastResortWait = seconds(2);
+    constexpr Duration lastResortWait = milliseconds(1500);
     /// Age of the fleet's newest contact with the store up to which the store counts as available to some VM.
     constexpr Duration maxContactAge = milliseconds(1500);
 
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -55,6 +55,7 @@
     m_store->setSource(source);
     m_hasStartedReaders = true;
     m_mustListAfterFailure = false;
+    m_failingFeedReads.clear();
     log(LogEvent::StoreSourceChanged, fmt::format("source={}", source.empty() ? "store" : source));
     for (const auto& [collection, reader] : m_readers)
         reader->restart();
@@ -68,7 +69,9 @@
         .onConfirmed =
             [this, collection](TimePoint sentAt) {
                 m_readConfirmedAt[collection] = sentAt;
-                dispatch(entry::StoreAnswered { .isDirect = m_store->source().empty() });
+                m_failingFeedReads.erase(collection);
+                dispatch(entry::StoreAnswered {
+                    .isDirect = m_store->source().empty(), .isComplete = m_failingFeedReads.empty() });
                 if (collection == Collection::Policy && m_state.policy.policy().version != 0)
                     dispatch(entry::PolicyConfirmed { sentAt });
                 if (collection == Collection::Policy && m_mustListAfterFailure)
@@ -121,6 +124,7 @@
         return;
     if (!m_state.storeSource.feedFailingSince)
         log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
+    m_failingFeedReads.insert(collection);
     dispatch(entry::FeedFailed {});
     updateStoreSource();
 }
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -18,8 +18,8 @@
     using std::chrono::milliseconds;
 
     constexpr std::string_view feedPath = "/v1/feed/";
-    /// Timeout of a list. It is short, because the coordinator is in the same failure domain and answers from memory.
-    constexpr Duration listTimeout = milliseconds(500);
+    /// Timeout of a list. The feed answers from memory, but a configuration of 1 MB is sent to all its readers at once.
+    constexpr Duration listTimeout = milliseconds(1500);
     /// Time that the answer of a watch may take after the end of its wait.
     constexpr Duration watchAnswerMargin = milliseconds(450);
     /// Greatest age of the last confirmation of the policy with which the feed is served. An answered watch confirms
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -105,6 +105,9 @@
         raise(vm, StoreFailed {});
     }
 
+    /// Lets one collection fail in each read of a VM from a feed, while the others succeed.
+    void breakFeedCollection(const VmId& vm) { m_withIncompleteFeed.insert(vm); }
+
     /// Lets the store answer a VM again.
     void returnStore(const VmId& vm) { m_withoutStore.erase(vm); }
 
@@ -199,8 +202,11 @@
             return;
         const bool isAnswered = !m_withoutStore.contains(reader)
             && (feed.empty() || (canReach(vm, feed) && m_entries.at(feed).storeSource.feed.empty()));
+        const bool isComplete = feed.empty() || !m_withIncompleteFeed.contains(vm);
+        if (isAnswered && !isComplete)
+            handle(entry, FeedFailed {});
         if (isAnswered)
-            handle(entry, StoreAnswered { .isDirect = feed.empty() });
+            handle(entry, StoreAnswered { .isDirect = feed.empty(), .isComplete = isComplete });
         else
             handle(entry, feed.empty() ? EntryEvent(StoreFailed {}) : EntryEvent(FeedFailed {}));
     }
@@ -302,6 +308,7 @@
     bool m_haveRecordsChanged = false;
     std::set<VmId> m_withoutStore;
     std::set<VmId> m_withSilentStore;
+    std::set<VmId> m_withIncompleteFeed;
     double m_lossRate = 0;
     double m_dueRequests = 0;
     RequestId m_lastRequest = 0;
--- a/tests/entry/store_source_failure_test.cpp
+++ b/tests/entry/store_source_failure_test.cpp
@@ -105,6 +105,16 @@
     expectAnswered(seconds(1));
 }
 
+// Guards against a VM that keeps an old configuration for ever, because one collection of the feed, such as a
+// configuration that has grown, cannot be read in time while the others can.
+TEST_F(StoreSourceFailure, VmReadsTheStoreIfOneCollectionOfTheFeedKeepsFailing)
+{
+    fleet.breakFeedCollection("a7");
+    fleet.run(seconds(2));
+    EXPECT_TRUE(fleet.at("a7").storeSource.feed.empty());
+    EXPECT_EQ(fleet.at("a6").storeSource.feed, "a1");
+}
+
 // Guards against a fleet without the store although some VMs that do not coordinate could read it.
 TEST_F(StoreSourceFailure, DeputyThatReachesTheStoreServesItsDomain)
 {
