Read on instead of listing when the feed changes

Change: a reader that changes to another feed, or whose feed fails, continues with a watch from its newest complete read. It lists only if the feed no longer keeps the changes since, or if the store itself is read.

--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -54,6 +54,32 @@
     list({});
 }
 
+void CollectionReader::resume()
+{
+    stop();
+    listOrWatch();
+}
+
+void CollectionReader::resumeAfterBackoff()
+{
+    ++m_generation;
+    m_timer.expires_after(initialBackoff * (1U << (std::min(m_consecutiveFailures, 4U) - 1)));
+    m_timer.async_wait([self = shared_from_this(), generation = m_generation](SystemError ec) {
+        if (!ec && generation == self->m_generation)
+            self->listOrWatch();
+    });
+}
+
+void CollectionReader::listOrWatch()
+{
+    if (m_completeRevision == 0) {
+        list({});
+        return;
+    }
+    m_revision = m_completeRevision;
+    watch();
+}
+
 void CollectionReader::list(const std::string& after)
 {
     const auto sentAt = currentTime();
@@ -83,6 +109,7 @@
                 return;
             }
             self->m_consecutiveFailures = 0;
+            self->m_completeRevision = self->m_revision;
             self->m_handlers.onListed(std::exchange(self->m_listedObjects, {}));
             self->m_handlers.onConfirmed(page.confirmedAt.value_or(sentAt));
             self->watch();
@@ -102,6 +129,7 @@
             }
             self->m_consecutiveFailures = 0;
             self->m_revision = std::max(self->m_revision, result.value().revision);
+            self->m_completeRevision = self->m_revision;
             for (const auto& change : result.value().changes) {
                 self->recordChange(change, result.value().revision);
                 self->m_handlers.onChanged(change);
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -51,11 +51,20 @@
     /// abandoned: its answer is ignored, and a store that sends one call at a time sends the list after it.
     void restartAfterBackoff();
 
+    /// \brief Abandons calls in progress and reads on after the newest complete read, from a feed that may be another
+    /// one than before. Unlike \ref restart, this does not transfer the whole collection again.
+    void resume();
+
+    /// \brief Does the same after the backoff, instead of the list that follows a failure. To be called from
+    /// \ref Handlers::onFailed.
+    void resumeAfterBackoff();
+
     /// \brief Revision of the store as of which the objects have been read; 0 before the first read.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
 
 private:
     void list(const std::string& after);
+    void listOrWatch();
     void watch();
     void watchAfterPause();
     void handleFailure(const Error& error);
@@ -71,6 +80,7 @@
     Handlers m_handlers;
     std::vector<StoreObject> m_listedObjects;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_completeRevision = 0; ///< revision of the newest complete read; 0 before the first list
     std::set<std::string> m_names; ///< of the objects that the collection holds
     std::uint64_t m_lastChange = 0; ///< revision that a read must have to contain all changes reported so far
     std::uint64_t m_generation = 0; ///< changes with each restart, so that answers to earlier calls are ignored
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -57,8 +57,14 @@
     m_mustListAfterFailure = false;
     m_failingFeedReads.clear();
     log(LogEvent::StoreSourceChanged, fmt::format("source={}", source.empty() ? "store" : source));
-    for (const auto& [collection, reader] : m_readers)
-        reader->restart();
+    // Reading on instead of listing keeps the load small when all VMs of a domain change to the same feed. The store is
+    // listed, so that this VM's own feed is complete.
+    for (const auto& [collection, reader] : m_readers) {
+        if (source.empty())
+            reader->restart();
+        else
+            reader->resume();
+    }
 }
 
 CollectionReader::Handlers EntryNode::readerHandlers(Collection collection)
@@ -124,6 +130,7 @@
         return;
     if (!m_state.storeSource.feedFailingSince)
         log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
+    m_readers.at(collection)->resumeAfterBackoff();
     m_failingFeedReads.insert(collection);
     dispatch(entry::FeedFailed {});
     updateStoreSource();
