Encode an answer of the feed once for all its readers

Cause: the coordinator encoded a configuration of several hundred KB for each of its up to 40 readers. Change: the newest list and the newest changes of each collection are kept encoded; only the confirmation, which differs between readers, is added to each answer.

--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -41,18 +41,15 @@
     // clocks of two VMs cannot be compared. The reader adds it to the send time of its call, so its result is never too
     // late.
 
-    std::string encode(const StoreListing& listing, Duration confirmationOffset)
+    std::string encode(const StoreListing& listing)
     {
         auto objects = Json::array();
         for (const auto& object : listing.objects)
             objects.push_back(encodeObject(object));
-        return Json {
-            { "revision", listing.revision }, { "objects", std::move(objects) },
-            { "confirmedAfterUs", confirmationOffset.count() }
-        }.dump();
+        return Json { { "revision", listing.revision }, { "objects", std::move(objects) } }.dump();
     }
 
-    std::string encode(const StoreChanges& changes, Duration confirmationOffset)
+    std::string encode(const StoreChanges& changes)
     {
         auto objects = Json::array();
         auto removed = Json::array();
@@ -63,11 +60,16 @@
                 objects.push_back(encodeObject(change.object));
         }
         return Json {
-            { "revision", changes.revision }, { "objects", std::move(objects) }, { "removed", std::move(removed) },
-            { "confirmedAfterUs", confirmationOffset.count() }
+            { "revision", changes.revision }, { "objects", std::move(objects) }, { "removed", std::move(removed) }
         }.dump();
     }
 
+    /// Adds the confirmation to an encoded answer.
+    std::string addConfirmation(std::string_view encoded, Duration offset)
+    {
+        return "{\"confirmedAfterUs\":" + std::to_string(offset.count()) + ',' + std::string(encoded.substr(1));
+    }
+
     StoreListing decodeListing(const Json& json, TimePoint sentAt)
     {
         StoreListing out { .revision = json.at("revision").get<std::uint64_t>(),
@@ -141,6 +143,8 @@
         channel->abandon();
     // The caches hold only reads from the platform's store, which are no longer updated.
     m_caches.clear();
+    m_encodedListings.clear();
+    m_encodedChanges.clear();
     refuseFeedReads();
 }
 
@@ -252,8 +256,11 @@
         return;
     }
     if (query.starts_with("?list")) {
-        const auto offset = *m_confirmedAt - currentTime();
-        reply(makeAnswer(http::status::ok, encode(m_caches.at(collection).listing(), offset), "application/json"));
+        const auto& cache = m_caches.at(collection);
+        const auto& encoded
+            = encodeOnce(m_encodedListings[collection], cache.revision(), 0, [&] { return encode(cache.listing()); });
+        reply(
+            makeAnswer(http::status::ok, addConfirmation(encoded, *m_confirmedAt - currentTime()), "application/json"));
         return;
     }
     const auto wait = milliseconds(queryNumber(query, "waitMs"));
@@ -293,11 +300,23 @@
         reply(makeAnswer(http::status::service_unavailable, {}, "text/plain"));
         return;
     }
-    const auto changes = m_caches.at(collection).changesAfter(revision);
-    if (!changes)
+    const auto& cache = m_caches.at(collection);
+    const auto changes = cache.changesAfter(revision);
+    if (!changes) {
         reply(makeAnswer(http::status::gone, {}, "text/plain"));
-    else
-        reply(makeAnswer(http::status::ok, encode(changes.value(), *m_confirmedAt - receivedAt), "application/json"));
+        return;
+    }
+    const auto& encoded
+        = encodeOnce(m_encodedChanges[collection], cache.revision(), revision, [&] { return encode(changes.value()); });
+    reply(makeAnswer(http::status::ok, addConfirmation(encoded, *m_confirmedAt - receivedAt), "application/json"));
+}
+
+const std::string& SharedStore::encodeOnce(
+    EncodedAnswer& last, std::uint64_t revision, std::uint64_t since, const std::function<std::string()>& encodeAnswer)
+{
+    if (last.text.empty() || last.revision != revision || last.since != since)
+        last = { revision, since, encodeAnswer() };
+    return last.text;
 }
 
 void SharedStore::answerWaiters(Collection collection)
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -4,6 +4,7 @@
 #include "node/http_channel.hpp"
 #include "node/http_get_server.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -58,6 +59,14 @@
     };
     using WaiterId = std::uint64_t;
 
+    /// The newest answer of a collection without the confirmation, which differs between readers. A configuration of
+    /// 1 MB is encoded once for all of them.
+    struct EncodedAnswer {
+        std::uint64_t revision = 0; ///< of the collection
+        std::uint64_t since = 0; ///< revision after which the answer contains the changes; 0 for a list
+        std::string text;
+    };
+
     [[nodiscard]] HttpChannel& feedChannel(Collection collection);
     void recordConfirmation(Collection collection, TimePoint sentAt);
     [[nodiscard]] bool canServe(Collection collection) const;
@@ -68,6 +77,8 @@
     void serve(std::string_view target, HttpGetServer::Reply reply);
     void answer(WaiterId id);
     void answerWaiters(Collection collection);
+    static const std::string& encodeOnce(EncodedAnswer& last, std::uint64_t revision, std::uint64_t since,
+        const std::function<std::string()>& encodeAnswer);
     [[nodiscard]] bool hasChanges(const Waiter& waiter) const;
 
     asio::io_context& m_context;
@@ -76,6 +87,8 @@
     std::string m_source; ///< "ip:port" of the feed; empty: the platform's store
     std::map<Collection, std::shared_ptr<HttpChannel>> m_feedChannels; ///< connections to the source
     std::map<Collection, FeedCache> m_caches;
+    std::map<Collection, EncodedAnswer> m_encodedListings;
+    std::map<Collection, EncodedAnswer> m_encodedChanges;
     std::optional<TimePoint> m_confirmedAt; ///< send time of the last answered read of the policy
     std::map<WaiterId, Waiter> m_waiters;
     WaiterId m_lastWaiterId = 0;
