Turn to the store also while the coordinator changes or is late

Cause: a VM counted the time for which its feed had failed anew at each change of the feed, and an overloaded coordinator is replaced once a second; and it waited while its digest was late, which an overloaded coordinator's is. Change: only a read of the configuration ends the failure; a VM waits only while its coordinator reports that the store fails.

--- a/src/entry/store_source.cpp
+++ b/src/entry/store_source.cpp
@@ -31,7 +31,9 @@
     /// Time for which the other VMs wait while the store answers some VM. A store that returns is read by the
     /// coordinators within this time.
     constexpr Duration lastResortWait = milliseconds(1500);
-    /// Age of the fleet's newest contact with the store up to which the store counts as available to some VM.
+    /// Age of the coordinator's newest digest from which it says nothing about the store. Digests arrive every 200 ms.
+    constexpr Duration maxDigestAge = milliseconds(900);
+    /// Age of the store's newest answer up to which a VM serves a feed.
     constexpr Duration maxContactAge = milliseconds(1500);
 
     bool hasFailed(const StoreSource& source, const VmId& vm, TimePoint now)
@@ -108,9 +110,10 @@
         source.announcedFeed.clear();
         if (!source.readsStoreUntil && source.feedFailingSince) {
             const auto failingTime = now - *source.feedFailingSince;
-            const bool isStoreAvailable = state.fleetLoad.storeContactAt
-                && now - *state.fleetLoad.storeContactAt < maxContactAge
-                && state.fleetLoad.storeUptime >= lastResortWait;
+            const auto reportedAt = state.fleetLoad.receivedAt;
+            // An overloaded coordinator is late with its digests too. Its VMs then relieve it.
+            const bool isStoreAvailable
+                = !reportedAt || now - *reportedAt >= maxDigestAge || state.fleetLoad.storeUptime >= lastResortWait;
             if ((failingTime >= deputyWait && isDeputy(state)) || (failingTime >= lastResortWait && isStoreAvailable))
                 source.readsStoreUntil = now + directTime;
         }
@@ -134,8 +137,6 @@
     if (!isCoordinator && state.coordination.followedCoordinator().empty())
         return false;
     auto feed = isCoordinator ? chooseAsCoordinator(state, now) : chooseAsFollower(state, now);
-    if (feed != state.storeSource.feed)
-        state.storeSource.feedFailingSince.reset();
     state.storeSource.feed = std::move(feed);
     return true;
 }
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -132,7 +132,6 @@
     bool m_isDispatching = false;
     bool m_isRegistering = false;
     bool m_hasStoppedListening = false;
-    std::set<Collection> m_failingFeedReads; ///< collections whose newest read from the feed has failed
     bool m_mustListAfterFailure = false; ///< a read of the policy has failed since the collections were last listed
     RequestId m_lastRequestId = 0;
     std::uint64_t m_failedStoreCalls = 0;
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -55,7 +55,6 @@
     m_store->setSource(source);
     m_hasStartedReaders = true;
     m_mustListAfterFailure = false;
-    m_failingFeedReads.clear();
     log(LogEvent::StoreSourceChanged, fmt::format("source={}", source.empty() ? "store" : source));
     // Reading on instead of listing keeps the load small when all VMs of a domain change to the same feed. The store is
     // listed, so that this VM's own feed is complete.
@@ -75,9 +74,8 @@
         .onConfirmed =
             [this, collection](TimePoint sentAt) {
                 m_readConfirmedAt[collection] = sentAt;
-                m_failingFeedReads.erase(collection);
                 dispatch(entry::StoreAnswered {
-                    .isDirect = m_store->source().empty(), .isComplete = m_failingFeedReads.empty() });
+                    .isDirect = m_store->source().empty(), .isComplete = collection == Collection::Policy });
                 if (collection == Collection::Policy && m_state.policy.policy().version != 0)
                     dispatch(entry::PolicyConfirmed { sentAt });
                 if (collection == Collection::Policy && m_mustListAfterFailure)
@@ -131,7 +129,6 @@
     if (!m_state.storeSource.feedFailingSince)
         log(LogEvent::StoreCallFailed, fmt::format("collection={} {}", toString(collection), describe(error)));
     m_readers.at(collection)->resumeAfterBackoff();
-    m_failingFeedReads.insert(collection);
     dispatch(entry::FeedFailed {});
     updateStoreSource();
 }
