Name what ends the failure of a feed

The field isComplete had come to mean that the read was one of the configuration, and its comment still said that all collections had been read. Renamed to confirmsPolicy; no behaviour changes.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -145,7 +145,7 @@
 /// \brief A call to the store succeeded.
 struct StoreAnswered {
     bool isDirect = true; ///< the store itself answered, not another VM's feed
-    bool isComplete = true; ///< the newest read of each collection has succeeded
+    bool confirmsPolicy = true; ///< it was a read of the configuration, which is confirmed most often
 };
 
 struct VmReportReceived {
--- a/include/arbutuscrank/entry/store_source.hpp
+++ b/include/arbutuscrank/entry/store_source.hpp
@@ -25,7 +25,7 @@
     std::optional<TimePoint> readsFeedUntil; ///< a coordinator tries the store again then
     std::optional<TimePoint> readsStoreUntil; ///< a VM that does not coordinate tries its coordinator's feed again then
     std::optional<TimePoint> storeFailedAt; ///< failure of the store's newest answer to this VM; unset if it succeeded
-    std::optional<TimePoint> feedFailingSince; ///< since then, the reads of some collection from the feed have failed
+    std::optional<TimePoint> feedFailingSince; ///< first failure since the feed last confirmed the policy
     std::map<VmId, TimePoint> feedFailedAt; ///< newest failure of each VM's feed
 };
 
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -205,7 +205,7 @@
         state.storeContactAt = now;
         state.storeSource.storeFailedAt.reset();
         state.storeSource.announcedFeed.clear();
-    } else if (event.isComplete) {
+    } else if (event.confirmsPolicy) {
         state.storeSource.feedFailingSince.reset();
     }
     if (state.isStoreUnavailable)
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -75,7 +75,7 @@
             [this, collection](TimePoint sentAt) {
                 m_readConfirmedAt[collection] = sentAt;
                 dispatch(entry::StoreAnswered {
-                    .isDirect = m_store->source().empty(), .isComplete = collection == Collection::Policy });
+                    .isDirect = m_store->source().empty(), .confirmsPolicy = collection == Collection::Policy });
                 if (collection == Collection::Policy && m_state.policy.policy().version != 0)
                     dispatch(entry::PolicyConfirmed { sentAt });
                 if (collection == Collection::Policy && m_mustListAfterFailure)
--- a/tests/entry/fleet_harness.hpp
+++ b/tests/entry/fleet_harness.hpp
@@ -105,7 +105,7 @@
         raise(vm, StoreFailed {});
     }
 
-    /// Lets one collection fail in each read of a VM from a feed, while the others succeed.
+    /// Lets the configuration fail in each read of a VM from a feed, while the other collections succeed.
     void breakFeedCollection(const VmId& vm) { m_withIncompleteFeed.insert(vm); }
 
     /// Lets the store answer a VM again.
@@ -202,11 +202,11 @@
             return;
         const bool isAnswered = !m_withoutStore.contains(reader)
             && (feed.empty() || (canReach(vm, feed) && m_entries.at(feed).storeSource.feed.empty()));
-        const bool isComplete = feed.empty() || !m_withIncompleteFeed.contains(vm);
-        if (isAnswered && !isComplete)
+        const bool confirmsPolicy = feed.empty() || !m_withIncompleteFeed.contains(vm);
+        if (isAnswered && !confirmsPolicy)
             handle(entry, FeedFailed {});
         if (isAnswered)
-            handle(entry, StoreAnswered { .isDirect = feed.empty(), .isComplete = isComplete });
+            handle(entry, StoreAnswered { .isDirect = feed.empty(), .confirmsPolicy = confirmsPolicy });
         else
             handle(entry, feed.empty() ? EntryEvent(StoreFailed {}) : EntryEvent(FeedFailed {}));
     }
