Show that a silent connection to the store hides draining targets

Watches of all collections but the policy wait 25 s for an answer on a connection without keep-alive, and the feed goes on serving what was read before.

--- a/review/harness.hpp
+++ b/review/harness.hpp
@@ -30,6 +30,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <string>
@@ -275,6 +276,8 @@
     std::thread([listener, serve = std::move(serve)] {
         for (;;) {
             const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0 && errno == EINVAL)
+                return; // the listener was shut down
             if (fd < 0)
                 continue;
             const int on = 1;
@@ -565,8 +568,8 @@
         , m_zone(std::move(zone))
         , m_slots(slots)
     {
-        const int listener = listenAt(m_ip, m_port);
-        serveForever(listener, [this](int fd) { serve(fd); });
+        m_listener = listenAt(m_ip, m_port);
+        serveForever(m_listener, [this](int fd) { serve(fd); });
     }
 
     [[nodiscard]] const std::string& id() const { return m_id; }
@@ -579,6 +582,19 @@
             { "born", m_bornMs } };
     }
 
+    /// \brief From now on all answers say that the target leaves.
+    void setLeaving() { m_isLeaving = true; }
+
+    /// \brief Ends the target: all connections are reset and no new ones are accepted.
+    void exit()
+    {
+        m_hasExited = true;
+        ::shutdown(m_listener, SHUT_RDWR);
+        const std::lock_guard lock(m_mutex);
+        for (const int fd : m_connections)
+            ::shutdown(fd, SHUT_RDWR);
+    }
+
     /// Work of a request; called when it begins to run.
     std::function<Work(const Message&)> work = [](const Message&) { return Work {}; };
     /// Called when a request begins to run, with the id of the client's attempt and the tenant.
@@ -588,12 +604,24 @@
 
 private:
     void serve(int fd)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_connections.insert(fd);
+        }
+        serveRequests(fd);
+        const std::lock_guard lock(m_mutex);
+        m_connections.erase(fd);
+    }
+
+    void serveRequests(int fd)
     {
         Reader reader(fd);
         Message request;
-        while (reader.read(request) == ReadEnd::Complete) {
+        while (!m_hasExited && reader.read(request) == ReadEnd::Complete) {
             const auto attempt = request.header("Attempt-Id");
-            const auto echo = "Attempt-Id: " + attempt + "\r\nKeep-Alive: timeout=10\r\n";
+            const auto echo = concat("Attempt-Id: ", attempt, "\r\nKeep-Alive: timeout=10\r\n",
+                m_isLeaving ? "Server-Leaving: 1\r\nConnection: close\r\n" : "");
             if (request.header("Expect-Instance") != m_id) {
                 if (!sendAll(fd, answerText(421, echo + "Instance-Id: " + m_id + "\r\n", {})))
                     return;
@@ -659,6 +687,10 @@
     std::condition_variable m_freed;
     int m_running = 0;
     int m_waiting = 0;
+    int m_listener = -1;
+    std::set<int> m_connections;
+    std::atomic<bool> m_isLeaving = false;
+    std::atomic<bool> m_hasExited = false;
 };
 
 // --- The processes under test ---
