--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -16,7 +16,7 @@
 /// Link of a VM in Mbit/s, and its delay to clients. The VMs of the grown deployments have 10 to 200 Mbit/s.
 constexpr double linkMbps = 50;
 constexpr double delaySeconds = 0.008;
-constexpr int windowBytes = 131072;
+constexpr int windowBytes = 16384;
 constexpr double sentAfterStop = 2;
 
 /// The link between the VM and its clients: delays bytes, and passes at most linkMbps from the VM to all clients.
