--- a/review/harness.hpp
+++ b/review/harness.hpp
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -775,6 +776,7 @@
         const int log = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         m_pid = fork();
         if (m_pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // no VM outlives the case, also if the case is killed
             dup2(log, STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
             execve(command.c_str(), arguments, environment);
