Send a watch again that may wait on a silent connection

Cause: a watch with nothing to report cannot be told from one whose connection is dead. The other collections were listed again only after a failed read of the policy, which was answered each second.

Change: the store has one revision for all collections, and the policy's watch reports it each second. A watch that was sent as of an earlier revision, longer ago than the bound on requests to draining targets, is sent again on a new connection, once for each revision (event 906). While the store does not change, there is no further call.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -80,6 +80,7 @@
     StoreCallFailed = 904,
     StoreSourceChanged = 905,
 };
+    StoreWatchRepeated = 906,
 
 /// \brief Name of a log event, as in docs/log-events.md.
 [[nodiscard]] std::string_view toString(LogEvent event) noexcept;
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -127,6 +127,8 @@
         return "store-source-changed";
     }
     return "unknown";
+    case LogEvent::StoreWatchRepeated:
+        return "store-watch-repeated";
 }
 
 } // namespace arbutuscrank
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -45,6 +45,7 @@
     ++m_generation;
     m_timer.cancel();
     m_listedObjects.clear();
+    m_watchSentAt.reset();
     m_store->abandonReads(m_collection);
 }
 
@@ -60,9 +61,20 @@
     listOrWatch();
 }
 
+bool CollectionReader::noteStoreRevision(std::uint64_t storeRevision)
+{
+    const bool mayMissChange = storeRevision > std::max(m_revision, m_checkedRevision);
+    if (!m_watchSentAt || !mayMissChange || currentTime() - *m_watchSentAt < m_timing.maxSilence)
+        return false;
+    m_checkedRevision = storeRevision;
+    resume();
+    return true;
+}
+
 void CollectionReader::resumeAfterBackoff()
 {
     ++m_generation;
+    m_watchSentAt.reset();
     m_timer.expires_after(initialBackoff * (1U << (std::min(m_consecutiveFailures, 4U) - 1)));
     m_timer.async_wait([self = shared_from_this(), generation = m_generation](SystemError ec) {
         if (!ec && generation == self->m_generation)
@@ -119,10 +131,12 @@
 void CollectionReader::watch()
 {
     const auto sentAt = currentTime();
+    m_watchSentAt = sentAt;
     m_store->watch(m_collection, m_revision, m_timing.wait,
         [self = shared_from_this(), generation = m_generation, sentAt](Result<StoreChanges> result) {
             if (generation != self->m_generation)
                 return;
+            self->m_watchSentAt.reset();
             if (!result) {
                 self->handleFailure(result.error());
                 return;
@@ -190,6 +204,7 @@
 {
     ++m_generation;
     m_listedObjects.clear();
+    m_watchSentAt.reset();
     const auto wait = std::min<Duration>(initialBackoff * (1 << std::min(m_consecutiveFailures, 4U)), maxBackoff);
     ++m_consecutiveFailures;
     m_timer.expires_after(wait);
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -19,6 +20,9 @@
 ///
 /// The reported states never go back: a list that lacks a change which was reported before fails with Unavailable. A
 /// feed may serve such a list after this reader has read the store, or the feed of another VM.
+///
+/// The connection on which a watch waits may go silent without a reset. Nothing tells this watch from one that has
+/// nothing to report, except that the store's revision moves on: see \ref noteStoreRevision.
 class CollectionReader : public std::enable_shared_from_this<CollectionReader> {
 public:
     /// \brief Callbacks from the reader to its owner.
@@ -33,6 +37,7 @@
     struct WatchTiming {
         Duration wait {}; ///< time after which the store answers a watch even without changes
         Duration pause {}; ///< delay from a change to the next watch, which then reports all changes since
+        Duration maxSilence {}; ///< age from which a watch that may have missed a change is sent again
     };
 
     CollectionReader(asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection,
@@ -59,6 +64,11 @@
     /// \ref Handlers::onFailed.
     void resumeAfterBackoff();
 
+    /// \brief Tells the revision of the store as of which another collection has been read. A watch that has waited for
+    /// \ref WatchTiming::maxSilence and was sent as of an earlier revision may have missed a change, so it is sent
+    /// again on a new connection, once for each revision. \returns whether the watch was sent again
+    bool noteStoreRevision(std::uint64_t storeRevision);
+
     /// \brief Revision of the store as of which the objects have been read; 0 before the first read.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
 
@@ -84,6 +94,8 @@
     std::set<std::string> m_names; ///< of the objects that the collection holds
     std::uint64_t m_lastChange = 0; ///< revision that a read must have to contain all changes reported so far
     std::uint64_t m_generation = 0; ///< changes with each restart, so that answers to earlier calls are ignored
+    std::optional<TimePoint> m_watchSentAt; ///< set while a watch waits for its answer
+    std::uint64_t m_checkedRevision = 0; ///< newest revision for which a watch was sent again
     std::uint32_t m_consecutiveFailures = 0;
 };
 
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -79,6 +79,8 @@
     void recordLoopDelay();
     void continueStop();
 
+    /// Sends watches again that have waited long although the store has changed: their connection may be silent.
+    void replaceSilentWatches();
     // Queues events for the reducer and performs its effects.
     void dispatch(const entry::EntryEvent& event);
     void perform(const entry::SendAttempt& effect);
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -25,7 +25,8 @@
     // must stay within the bound on withdrawals. The wait counts twice towards that age: the coordinator waits for the
     // store, and a VM that reads the coordinator's feed waits for the coordinator. The other collections only need a
     // live connection, so their watches wait long. Once the policy is read again after a failure, all collections are
-    // listed again, which replaces dead connections.
+    // listed again, which replaces dead connections. A connection that dies alone and without a reset is replaced once
+    // the answers of the policy's watches show that the store has changed.
     const auto policyWatchWait = m_state.settings.bounds.policyWatchWait();
     constexpr Duration otherWatchWait = std::chrono::seconds(25);
     // The pause lets one call read changes that come together, as at a start or a release. It is a small part of the
@@ -35,8 +36,8 @@
     for (const auto collection :
         { Collection::Policy, Collection::Targets, Collection::Evacuations, Collection::Members }) {
         const CollectionReader::WatchTiming timing = collection == Collection::Policy
-            ? CollectionReader::WatchTiming { policyWatchWait, policyPause }
-            : CollectionReader::WatchTiming { otherWatchWait, otherPause };
+            ? CollectionReader::WatchTiming { policyWatchWait, policyPause, policyWatchWait }
+            : CollectionReader::WatchTiming { otherWatchWait, otherPause, m_state.settings.bounds.drainLimit };
         m_readers.emplace(collection,
             std::make_shared<CollectionReader>(m_context, m_store, collection, timing, readerHandlers(collection)));
     }
@@ -80,6 +81,8 @@
                     dispatch(entry::PolicyConfirmed { sentAt });
                 if (collection == Collection::Policy && m_mustListAfterFailure)
                     listAfterFailure();
+                if (collection == Collection::Policy)
+                    replaceSilentWatches();
             },
         .onFailed = [this, collection](const Error& error) { handleReadFailure(collection, error); },
     };
@@ -117,6 +120,18 @@
     }
 }
 
+void EntryNode::replaceSilentWatches()
+{
+    const auto storeRevision = m_readers.at(Collection::Policy)->revision();
+    for (const auto& [collection, reader] : m_readers) {
+        const auto revision = reader->revision();
+        if (collection != Collection::Policy && reader->noteStoreRevision(storeRevision))
+            log(LogEvent::StoreWatchRepeated,
+                fmt::format("collection={} revision={} store_revision={} source={}", toString(collection), revision,
+                    storeRevision, m_store->source().empty() ? "store" : m_store->source()));
+    }
+}
+
 void EntryNode::handleFeedFailure(Collection collection, const Error& error)
 {
     if (error.code == ErrorCode::NotFound)
--- a/tests/node/entry_node_failure_test.cpp
+++ b/tests/node/entry_node_failure_test.cpp
@@ -31,6 +31,7 @@
             for (auto* address : { &settings.callerAddress, &settings.readinessAddress, &settings.lookupAddress,
                      &settings.reportAddress, &settings.metricsAddress })
                 *address = freeAddress();
+            settings.bounds.drainLimit = std::chrono::milliseconds(40);
             store->objects.clear();
             PlatformBinding platform;
             platform.store = store;
@@ -41,6 +42,26 @@
 
         bool isWatchPending(Collection collection) { return static_cast<bool>(store->pendingWatches[collection]); }
 
+        bool areAllWatchesPending()
+        {
+            return isWatchPending(Collection::Policy) && isWatchPending(Collection::Targets)
+                && isWatchPending(Collection::Evacuations) && isWatchPending(Collection::Members);
+        }
+
+        /// Answers each watch of the policy without a change and with the store's revision, for some time.
+        void answerPolicyWatches(std::uint64_t revision, Duration duration)
+        {
+            const auto end = std::chrono::steady_clock::now() + duration;
+            while (std::chrono::steady_clock::now() < end) {
+                if (isWatchPending(Collection::Policy))
+                    store->answerWatch(Collection::Policy, StoreChanges { .revision = revision });
+                context.restart();
+                context.run_for(std::chrono::milliseconds(10));
+            }
+        }
+
+        static constexpr auto longWatches = { Collection::Targets, Collection::Evacuations, Collection::Members };
+
         asio::io_context context;
         entry::EntrySettings settings;
         std::shared_ptr<MemoryStore> store = std::make_shared<MemoryStore>();
@@ -64,4 +85,28 @@
     EXPECT_TRUE(runUntil(context, [&] { return store->lists[Collection::Evacuations] > lists; }));
 }
 
+// Guards against drains and evacuations that stay unknown for as long as a watch waits, because its connection has gone
+// silent while the policy is read as usual.
+TEST_F(EntryNodeFailure, WatchesThatMissAChangeOfTheStoreAreSentAgain)
+{
+    ASSERT_TRUE(runUntil(context, [&] { return areAllWatchesPending(); }));
+    const auto before = store->watches;
+    answerPolicyWatches(store->revision + 1, 4 * settings.bounds.drainLimit);
+    for (const auto collection : longWatches)
+        EXPECT_EQ(store->watches[collection], before.at(collection) + 1) << toString(collection);
+    answerPolicyWatches(store->revision + 2, 4 * settings.bounds.drainLimit);
+    for (const auto collection : longWatches)
+        EXPECT_EQ(store->watches[collection], before.at(collection) + 2) << toString(collection);
+}
+
+// Guards against calls to the store that grow with time although nothing changes in it.
+TEST_F(EntryNodeFailure, WatchesAreNotSentAgainWhileTheStoreDoesNotChange)
+{
+    ASSERT_TRUE(runUntil(context, [&] { return areAllWatchesPending(); }));
+    const auto before = store->watches;
+    answerPolicyWatches(store->revision, 4 * settings.bounds.drainLimit);
+    for (const auto collection : longWatches)
+        EXPECT_EQ(store->watches[collection], before.at(collection)) << toString(collection);
+}
+
 } // namespace arbutuscrank::node::test
--- a/tests/node/memory_store.hpp
+++ b/tests/node/memory_store.hpp
@@ -24,6 +24,7 @@
     void watch(Collection collection, std::uint64_t, Duration, Handler<StoreChanges> done) override
     {
         ++calls;
+        ++watches[collection];
         pendingWatches[collection] = std::move(done);
     }
     void abandonReads(Collection) override { }
@@ -43,6 +44,7 @@
     std::uint64_t revision = 10;
     std::map<Collection, Handler<StoreChanges>> pendingWatches;
     std::map<Collection, int> lists; ///< number of lists by collection
+    std::map<Collection, int> watches; ///< number of watches by collection
     bool isUnavailable = false;
     int calls = 0;
 };
