End a planned stop only when all answers are written

Cause: the stop waited until no request was pending. A request stops being pending when its answer is passed to the caller's session, which writes it for seconds if the link is slow; ending the event loop drops the write.

Change: the stop also waits until every session has written its answers. When no request may run any more, answers that are being written may use the rest of the grace, but for one tick.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -259,11 +259,19 @@
             }
         }
     }
-    const bool isIdle = m_hasStoppedListening && m_pendingRequests.empty();
-    const bool isOver = currentTime() >= stopEndsAt(m_state);
+    // A request leaves m_pendingRequests when its answer is passed to its session, which may write it for seconds.
+    const auto unansweredConnections = std::ranges::count_if(m_sessions, [](const auto& weak) {
+        const auto session = weak.lock();
+        return session && !session->hasNoUnansweredRequest();
+    });
+    const bool isIdle = m_hasStoppedListening && m_pendingRequests.empty() && unansweredConnections == 0;
+    // Answers that have arrived may use the rest of the grace. The next tick would come after its end.
+    const bool isOver = elapsed + tickInterval >= m_state.settings.bounds.stopGrace
+        || (currentTime() >= stopEndsAt(m_state) && unansweredConnections == 0);
     if (!isIdle && !isOver)
         return;
-    log(isIdle ? LogEvent::StopCompleted : LogEvent::StopForced, fmt::format("requests={}", m_pendingRequests.size()));
+    log(isIdle ? LogEvent::StopCompleted : LogEvent::StopForced,
+        fmt::format("requests={} connections={}", m_pendingRequests.size(), unansweredConnections));
     m_log.flush(currentTime());
     m_context.stop();
 }
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -30,8 +30,8 @@
     [[nodiscard]] Result<void> start();
 
     /// \brief Starts a graceful shutdown: look-ups send callers to other VMs, connections are accepted for another few
-    /// seconds, and requests in flight are finished. The event loop ends when no connections are accepted and no
-    /// request is left, at the latest shortly before the grace period is over.
+    /// seconds, and requests in flight are finished. The event loop ends when no connections are accepted and every
+    /// answer is written, at the latest shortly before the grace period is over.
     void requestStop();
 
     /// \brief Applies the bounds and the failure domains of changed settings. Other settings, such as addresses, and
