Take requests in a planned stop only if they end before it does

Cause: a request was taken if four times the usual duration of its route was left. The usual duration says what most requests need; what one may take is bounded by its deadline alone.

Change: a VM that shuts down takes a request if its deadline lies before the end of the stop, and rejects any other at once as not run, which costs the caller only the way to another VM. The usual duration decides only for requests that may be repeated, in the first 2.8 s, while callers may hold an earlier answer of a look-up.

--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -25,6 +25,9 @@
     /// Multiple of the typical duration that a request may need: a target that has to load the object takes 3.3 times
     /// as long, and the request may wait before.
     constexpr double longDurationFactor = 4.0;
+    /// Time after the stop request from which only requests that are certain to end are taken. Callers that hold the
+    /// answer of a look-up for as long as they may, three times its lifetime of one second, have then looked up again.
+    constexpr Duration heldLookupTime = milliseconds(2800);
     /// Time that the answer to a request takes to the caller before a VM that shuts down ends.
     constexpr Duration stopAnswerTime = milliseconds(150);
     /// Minimum time until the deadline for a retry, as a multiple of the route's typical duration.
@@ -262,10 +265,15 @@
     {
         if (!state.stopRequestedAt)
             return true;
-        const auto typical = std::chrono::duration_cast<Duration>(typicalDuration(state, request) * longDurationFactor);
-        const auto untilDeadline = request.deadline - now;
-        const auto needed = typical > Duration::zero() ? std::min(typical, untilDeadline) : untilDeadline;
-        return now + needed <= stopEndsAt(state) - stopAnswerTime;
+        const auto end = stopEndsAt(state) - stopAnswerTime;
+        if (request.deadline <= end)
+            return true;
+        // A request that must run at most once is lost if it is broken off, while its refusal costs the caller only the
+        // way to another VM.
+        const auto typical = typicalDuration(state, request);
+        const bool mayBeBrokenOff = request.idempotent && now - *state.stopRequestedAt < heldLookupTime;
+        return mayBeBrokenOff && typical > Duration::zero()
+            && now + std::chrono::duration_cast<Duration>(typical * longDurationFactor) <= end;
     }
 
     void start(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
--- a/src/entry/attempts.hpp
+++ b/src/entry/attempts.hpp
@@ -25,7 +25,8 @@
 /// \brief Deadline of a request at a VM that may be shutting down: the request is answered before the process ends.
 [[nodiscard]] TimePoint limitToStop(const EntryState& state, TimePoint deadline) noexcept;
 
-/// \brief Whether a new request is likely to end before a VM that shuts down does.
+/// \brief Whether a VM that shuts down may take a new request: it is certain to end before the VM does, or it may be
+/// repeated, usually ends in time, and comes early in the shutdown.
 [[nodiscard]] bool canEndBeforeStop(const EntryState& state, const Request& request, TimePoint now);
 
 /// \brief Cancels the in-flight attempts and removes the request.
--- a/tests/entry/requests_failure_test.cpp
+++ b/tests/entry/requests_failure_test.cpp
@@ -221,4 +221,40 @@
     EXPECT_EQ(answer->status, 504U);
 }
 
+// Guards against a request that is taken in a planned stop because such requests are usually fast, and broken off when
+// the process ends.
+TEST(LateInStopFailure, RequestThatIsOnlyUsuallyFastIsRejected)
+{
+    auto policy = makePolicy();
+    for (auto& route : policy.routes)
+        route.timeout = seconds(4);
+    const auto isTaken = [&](const std::string& path, Duration afterStop) {
+        Entry entry(1, policy);
+        entry.useTargets({ makeTarget("t1") });
+        for (const auto* usual : { "/read/1", "/write/1" }) {
+            const auto id = entry.request(usual, key, seconds(4));
+            const auto attempt = entry.last<SendAttempt>();
+            EXPECT_TRUE(attempt) << usual;
+            entry.now += milliseconds(100);
+            entry.handle(AttemptAnswered { .request = id,
+                .attempt = attempt ? attempt->attempt : 0,
+                .kind = AnswerKind::Complete,
+                .status = 200,
+                .deliverable = true });
+        }
+        entry.handle(StopRequested {});
+        entry.advance(afterStop);
+        entry.request(path, key, seconds(4));
+        const auto refusal = entry.last<SendLocalAnswer>();
+        EXPECT_EQ(entry.count<SendAttempt>() + entry.count<SendLocalAnswer>(), 1U) << path;
+        EXPECT_TRUE(!refusal || (refusal->status == 503 && refusal->retryAfter > Duration::zero())) << path;
+        return !refusal;
+    };
+    EXPECT_TRUE(isTaken("/write/2", seconds(1))); // its time-out ends before the process does
+    EXPECT_FALSE(isTaken("/write/2", seconds(2)));
+    EXPECT_FALSE(isTaken("/write/2", milliseconds(3200)));
+    EXPECT_TRUE(isTaken("/read/2", seconds(2))); // the caller may repeat it
+    EXPECT_FALSE(isTaken("/read/2", milliseconds(3200)));
+}
+
 } // namespace arbutuscrank::entry::test
