Require keys also when no client account is left

Cause: keys were checked only if the configuration had accounts, and the adapter did not tell an empty list from a configuration without one; a list of another type counted as none.

Change: TrafficPolicy::requiresKeys is true unless the configuration has no list of accounts. A value that is not a list is rejected with the whole configuration, and the one in force stays.

--- a/include/arbutuscrank/entry/traffic_policy.hpp
+++ b/include/arbutuscrank/entry/traffic_policy.hpp
@@ -67,6 +67,9 @@
     std::vector<RoutePolicy> routes;
     std::vector<ServicePolicy> services;
     std::vector<AccountPolicy> accounts;
+    /// Whether requests on routes that are not open need a key of one of the accounts. If no account is left, no key is
+    /// valid.
+    bool requiresKeys = true;
     CallerLimits limits;
 };
 
--- a/src/entry/reduce_requests.cpp
+++ b/src/entry/reduce_requests.cpp
@@ -95,7 +95,7 @@
         return;
     }
     const AccountPolicy* account = nullptr;
-    if (!route->open && !state.policy.policy().accounts.empty()) {
+    if (!route->open && state.policy.policy().requiresKeys) {
         if (!isPolicyFresh(state, now)) {
             refuse(event, 503, "configuration-stale", staleRetryAfter, fmt::format("version={}", version), out);
             return;
--- a/tests/adapter/decoder_test.cpp
+++ b/tests/adapter/decoder_test.cpp
@@ -89,6 +89,31 @@
     EXPECT_TRUE(entry::findFaults(value).empty());
 }
 
+// Guards against routes that need no key any more once the last account is withdrawn, and against a list of accounts
+// that cannot be read and opens all routes.
+TEST(PlatformConfiguration, OnlyOneWithoutAListOfAccountsNeedsNoKeys)
+{
+    const auto decode = [](const std::string& accounts) {
+        return makeDecoder().decodePolicy(
+            { .name = "main", .body = R"({"version":3,"routes":[],"services":[])" + accounts + '}' });
+    };
+    for (const auto* text : { R"(,"tenants":[])", R"(,"tenants":[{"name":"a","apiKeys":[]}])" }) {
+        const auto policy = decode(text);
+        ASSERT_TRUE(policy) << text;
+        EXPECT_TRUE(policy.value().requiresKeys) << text;
+    }
+    for (const auto* text : { "", R"(,"tenants":null)" }) {
+        const auto policy = decode(text);
+        ASSERT_TRUE(policy) << text;
+        EXPECT_FALSE(policy.value().requiresKeys) << text;
+    }
+    for (const auto* text : { R"(,"tenants":{})", R"(,"tenants":"")", R"(,"tenants":7)" }) {
+        const auto policy = decode(text);
+        ASSERT_FALSE(policy) << text;
+        EXPECT_NE(policy.error().detail.find("tenants must be a list"), std::string::npos) << policy.error().detail;
+    }
+}
+
 // Guards against a configuration that is applied in part, and against a crash on an unreadable one.
 TEST(PlatformConfiguration, IsRejectedAsAWhole)
 {
--- a/tests/entry/requests_test.cpp
+++ b/tests/entry/requests_test.cpp
@@ -46,6 +46,33 @@
     expectRefusal(401, "unknown-key");
 }
 
+// Guards against routes that any request may use once the last account is withdrawn.
+TEST_F(EntryRequests, RefusesAllKeysWhenNoAccountIsLeft)
+{
+    auto policy = makePolicy(2);
+    policy.accounts.clear();
+    entry.handle(PolicyRead { policy });
+    for (const auto& withKey : { std::string(key), std::string() }) {
+        entry.effects.clear();
+        entry.request("/read/1", withKey);
+        expectRefusal(401, "unknown-key");
+    }
+    entry.request("/open/1", "");
+    EXPECT_EQ(entry.count<SendAttempt>(), 1U);
+}
+
+// Guards against requests that are refused although the configuration knows no keys.
+TEST_F(EntryRequests, NeedNoKeyWithoutAListOfAccounts)
+{
+    auto policy = makePolicy(2);
+    policy.accounts.clear();
+    policy.requiresKeys = false;
+    entry.handle(PolicyRead { policy });
+    entry.request("/read/1", "");
+    ASSERT_TRUE(entry.last<SendAttempt>());
+    EXPECT_EQ(entry.last<SendAttempt>()->account, "");
+}
+
 TEST_F(EntryRequests, RefusesUnknownRoutes)
 {
     entry.request("/none/1");
