Check the announced length of a store's answer before its body

An answer of the store or of a feed that announces many gigabytes, with head and body in one read, ended the process with bad_alloc (known from reading, docs/platform.md).

Cause: a parser that takes head and body from one read allocates the announced length although it exceeds its limit.

Change: the head is read first; a length beyond the limit fails the call. Look-ups and metrics are read by a path without this fault; a test now guards it.

Result: HttpChannelFailure.AnnouncedLengthBeyondTheLimitIsNotAllocated failed without the change and passes with it.

--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -76,6 +76,20 @@
 }
 
 void HttpChannel::receive()
+{
+    // A parser that takes head and body from one read allocates an announced length despite the limit.
+    http::async_read_header(m_socket, m_buffer, *m_parser,
+        [self = shared_from_this(), parser = m_parser, generation = m_generation](SystemError ec, std::size_t) {
+            if (generation != self->m_generation)
+                return;
+            if (ec)
+                self->fail(ErrorCode::Unknown, "store.answer", ec.message());
+            else
+                self->receiveBody();
+        });
+}
+
+void HttpChannel::receiveBody()
 {
     http::async_read(m_socket, m_buffer, *m_parser,
         [self = shared_from_this(), parser = m_parser, generation = m_generation](SystemError ec, std::size_t) {
--- a/src/node/http_channel.hpp
+++ b/src/node/http_channel.hpp
@@ -56,6 +56,7 @@
     void connect();
     void send();
     void receive();
+    void receiveBody();
     void finish(Result<Response> result);
     void fail(ErrorCode code, std::string_view step, std::string_view detail);
     void close();
--- a/tests/node/http_channel_failure_test.cpp
+++ b/tests/node/http_channel_failure_test.cpp
@@ -61,6 +61,25 @@
     EXPECT_EQ(code, ErrorCode::Timeout);
 }
 
+// Guards against a server whose answer announces more bytes than there is memory and ends the process.
+TEST(HttpChannelFailure, AnnouncedLengthBeyondTheLimitIsNotAllocated)
+{
+    const ScriptedServer server([](Tcp::socket& socket, int) {
+        readRequest(socket);
+        writeText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999\r\n\r\nabcdefgh");
+        readRequest(socket); // until the client closes
+    });
+    asio::io_context context;
+    const auto channel = std::make_shared<HttpChannel>(context, server.endpoint(), server.address());
+    std::optional<ErrorCode> code;
+    channel->call(get(), std::chrono::seconds(5), [&](Result<HttpChannel::Response> it) {
+        if (!it)
+            code = it.error().code;
+    });
+    EXPECT_TRUE(runUntil(context, [&] { return code.has_value(); }));
+    EXPECT_EQ(code, ErrorCode::Unknown);
+}
+
 // Guards against use of freed memory: if a call is abandoned while its request is being sent, the write still accesses
 // the request. Starting coordinators then ended with a segmentation fault.
 TEST(HttpChannelFailure, AbandonDuringASendKeepsTheRequestAlive)
