Count the memory that is allocated for answers, and whose it is

A target that answers without end could take more memory than a VM has, and end the requests of all its callers.

Cause: the limit counted bytes that had arrived, not what was allocated for them: strings grow by doubling, and a parser reserves an announced length at once. Attempts that were given up counted as free before they were, and answers that wait for a slow caller were not counted. The longest answer was given up, whoever sent it.

Change: AnswerMemory counts allocated bytes from an answer's head to the last byte written to its caller. Past the limit, the target or the caller's connection that holds most loses its longest answer.

Result: TargetAnswersFailure.EndlessAnswersOfOneTargetTakeNoMoreMemoryThan- Allowed failed with the old count and passes now; CallerSessionFailure.- CallerThatLeavesTooManyAnswersUnreadLosesItsConnection is new.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -64,6 +64,7 @@
     AttemptAnswered = 605,
     AttemptFailed = 606,
     AnswerValueRefused = 607,
+    CallerConnectionDropped = 608,
     // 7xx: steering
     PlanApplied = 700,
     ShiftStepped = 701,
@@ -79,8 +80,8 @@
     StoreEntryRefused = 903,
     StoreCallFailed = 904,
     StoreSourceChanged = 905,
-};
     StoreWatchRepeated = 906,
+};
 
 /// \brief Name of a log event, as in docs/log-events.md.
 [[nodiscard]] std::string_view toString(LogEvent event) noexcept;
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -101,6 +101,8 @@
         return "attempt-failed";
     case LogEvent::AnswerValueRefused:
         return "answer-value-refused";
+    case LogEvent::CallerConnectionDropped:
+        return "caller-connection-dropped";
     case LogEvent::PlanApplied:
         return "plan-applied";
     case LogEvent::ShiftStepped:
@@ -125,10 +127,10 @@
         return "store-call-failed";
     case LogEvent::StoreSourceChanged:
         return "store-source-changed";
-    }
-    return "unknown";
     case LogEvent::StoreWatchRepeated:
         return "store-watch-repeated";
+    }
+    return "unknown";
 }
 
 } // namespace arbutuscrank
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -159,7 +159,17 @@
     }
 }
 
-void CallerSession::answer(RequestId request, CallerAnswer answer)
+void CallerSession::closeForMemory()
+{
+    if (m_isClosed)
+        return;
+    SystemError ec;
+    const auto caller = m_socket.remote_endpoint(ec); // unset if the caller has already disconnected
+    m_handlers.logConnectionDropped(caller.address().to_string(), m_pendingAnswers.size());
+    closeAndReportUnanswered();
+}
+
+void CallerSession::answer(RequestId request, CallerAnswer answer, AnswerMemory::Share memory)
 {
     const auto it = std::ranges::find(m_pendingAnswers, request, &PendingAnswer::request);
     if (it == m_pendingAnswers.end() || m_isClosed)
@@ -168,6 +178,7 @@
     writeNext();
 }
 
+    m_currentMemory.markEnding();
 void CallerSession::writeNext()
 {
     if (m_isWriting || m_isClosed || m_pendingAnswers.empty() || !m_pendingAnswers.front().answer)
@@ -180,6 +191,11 @@
     removeConnectionHeaders(*m_currentAnswer);
     m_currentAnswer->version(11);
     m_currentAnswer->keep_alive(!closesConnection);
+    it->memory = std::move(memory);
+    it->memory.assign("caller " + std::to_string(m_socket.native_handle()), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->closeForMemory();
+    });
     m_currentAnswer->prepare_payload();
     m_pendingAnswers.pop_front();
     http::async_write(
@@ -190,6 +206,7 @@
                 return;
             if (ec) {
                 self->closeAndReportUnanswered();
+    m_currentMemory = std::move(front.memory);
                 return;
             }
             if (closesConnection) {
@@ -201,6 +218,7 @@
             }
             self->writeNext();
             self->waitForRequest();
+            self->m_currentMemory = {};
         });
 }
 
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/answer_memory.hpp"
 #include "node/network.hpp"
 #include "node/object_store.hpp"
 
@@ -33,6 +34,8 @@
     std::function<const entry::CallerLimits&()> limits;
     std::function<bool()> isStopping; ///< while true, a connection closes after its last pending answer
     std::function<void(const std::string&)> logUnreadableRequest; ///< gets the reason why a request was unreadable
+    /// Called when a connection is closed because its caller leaves more answers unread than there is memory for.
+    std::function<void(const std::string& caller, std::size_t unansweredRequests)> logConnectionDropped;
 };
 
 /// \brief Reads the requests of one connection and writes their answers.
@@ -43,7 +46,8 @@
     void start() { waitForRequest(); }
 
     /// \brief Answers a request. Answers are written in the order of the requests, so an early answer is held back.
-    void answer(RequestId request, CallerAnswer answer);
+    /// \param memory counts the answer until it is written; if it is released, the connection closes
+    void answer(RequestId request, CallerAnswer answer, AnswerMemory::Share memory = {});
 
     /// \brief Reads no further request. The connection closes after the answer to the last request that was read, so
     /// that the caller sends later ones again.
@@ -65,6 +69,7 @@
         bool keepAlive = true;
         unsigned version = 11;
         std::optional<CallerAnswer> answer;
+        AnswerMemory::Share memory; ///< of \ref answer
     };
 
     void waitForRequest();
@@ -77,6 +82,7 @@
     void closeIfNoneUnansweredAfter(Duration duration);
     void closeAndReportUnanswered();
     void close();
+    void closeForMemory();
 
     Tcp::socket m_socket;
     asio::steady_timer m_timer;
@@ -87,6 +93,7 @@
     std::optional<CallerAnswer> m_currentAnswer; ///< the answer that is being written
     std::uint64_t m_timerGeneration = 0;
     bool m_isReading = false;
+    AnswerMemory::Share m_currentMemory; ///< of \ref m_currentAnswer
     bool m_isWriting = false;
     bool m_hasReadLastRequest = false; ///< if true, no further request is read
     bool m_isClosed = false;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -23,7 +23,7 @@
     /// Time after a stop request for which connections are accepted. Callers cache the answer of a look-up for up to
     /// three times its lifetime of one second, so they may connect for that long.
     constexpr Duration listenTimeAfterStop = milliseconds(3200);
-    /// Part of the process's memory for answers that are being received, as a divisor.
+    /// Part of the process's memory for answers that are being received or written, as a divisor.
     constexpr std::uint64_t answerMemoryDivisor = 4;
     /// Delay of the event loop from which it is logged.
     constexpr Duration loggedLoopDelay = milliseconds(250);
@@ -107,7 +107,8 @@
     , m_platform(std::move(platform))
     , m_log(settings.vm, settings.logLevel, STDOUT_FILENO)
     , m_state(settings, makeSelfRecord(settings), std::random_device {}())
-    , m_targetConnections(context, m_platform.headers, settings.memoryBytes / answerMemoryDivisor)
+    , m_answerMemory(settings.memoryBytes / answerMemoryDivisor)
+    , m_targetConnections(context, m_platform.headers, m_answerMemory)
     , m_messageSocket(context, [this](std::string_view bytes) { handleMessage(bytes); })
     , m_readinessServer(context, [this](std::string_view target) { return serveReadiness(target); })
     , m_lookupServer(context, [this](std::string_view target) { return serveLookup(target); })
@@ -130,6 +131,12 @@
             [this](const std::string& detail) {
                 log(LogEvent::RequestRefused, fmt::format("request= reason=unreadable detail=\"{}\"", detail));
             },
+        .logConnectionDropped =
+            [this](const std::string& caller, std::size_t unansweredRequests) {
+                log(LogEvent::CallerConnectionDropped,
+                    fmt::format(
+                        "caller={} unanswered={} answer_bytes={}", caller, unansweredRequests, m_answerMemory.bytes()));
+            },
     };
 }
 
@@ -203,8 +210,10 @@
         log(LogEvent::AnswerValueRefused,
             fmt::format("attempt={} field={} found=\"{}\"", attempt, field, value.substr(0, maxLoggedValueBytes)));
     const auto event = classifyAnswer(request, attempt, result);
-    if (const auto it = m_pendingRequests.find(request); it != m_pendingRequests.end() && event.deliverable)
-        it->second.answers.emplace(attempt, std::move(result.answer));
+    if (const auto it = m_pendingRequests.find(request); it != m_pendingRequests.end() && event.deliverable) {
+        result.memory.assign("request", {}); // delivered or dropped with its request
+        it->second.answers.emplace(attempt, HeldAnswer { std::move(result.answer), std::move(result.memory) });
+    }
     dispatch(event);
 }
 
@@ -332,7 +341,8 @@
         return;
     const auto durationSeconds = std::chrono::duration<double>(currentTime() - it->second.arrivedAt).count();
     m_metrics.recordAnswer(effect.account, effect.service, durationSeconds, true);
-    answerCaller(effect.request, std::move(answer->second));
+    auto held = std::move(answer->second);
+    answerCaller(effect.request, std::move(held.answer), std::move(held.memory));
 }
 
 void EntryNode::perform(const entry::SendLocalAnswer& effect)
@@ -346,7 +356,7 @@
     answerCaller(effect.request, std::move(answer));
 }
 
-void EntryNode::answerCaller(RequestId request, CallerAnswer answer)
+void EntryNode::answerCaller(RequestId request, CallerAnswer answer, AnswerMemory::Share memory)
 {
     const auto it = m_pendingRequests.find(request);
     if (it == m_pendingRequests.end())
@@ -354,7 +364,7 @@
     const auto session = it->second.session.lock();
     m_pendingRequests.erase(it);
     if (session)
-        session->answer(request, std::move(answer));
+        session->answer(request, std::move(answer), std::move(memory));
 }
 
 void EntryNode::perform(const entry::SetExpiryTimer& effect)
@@ -462,6 +472,8 @@
     addMetric("counter", "store_calls_total", m_store->platformCalls());
     addMetric("counter", "store_calls_failed_total", m_failedStoreCalls);
     addMetric("counter", "target_connections_opened_total", m_targetConnections.connectionsOpened());
+    addMetric("gauge", "answer_memory_bytes", m_answerMemory.bytes());
+    addMetric("counter", "answers_released_total", m_answerMemory.releasedAnswers());
     addMetric("counter", "log_lines_dropped_total", m_log.droppedLines());
     return text;
 }
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/answer_memory.hpp"
 #include "node/caller_session.hpp"
 #include "node/collection_reader.hpp"
 #include "node/http_get_server.hpp"
@@ -42,6 +43,11 @@
     void logRejectedSettings(const Error& error);
 
 private:
+    struct HeldAnswer {
+        CallerAnswer answer;
+        AnswerMemory::Share memory;
+    };
+
     struct PendingRequest {
         std::weak_ptr<CallerSession> session;
         std::shared_ptr<const CallerRequest> request;
@@ -49,7 +55,7 @@
         asio::steady_timer expiryTimer;
         /// Before admission, the timeout of the coordinator's decision; after it, the time of the next hedge.
         asio::steady_timer hedgeOrAdmissionTimer;
-        std::map<entry::AttemptId, CallerAnswer> answers; ///< answers of attempts, not delivered yet
+        std::map<entry::AttemptId, HeldAnswer> answers; ///< answers of attempts, not delivered yet
     };
 
     // Handlers of input from callers, targets, other VMs and the store.
@@ -73,14 +79,14 @@
     void handleFeedFailure(Collection collection, const Error& error);
     /// Lists all collections other than the policy again.
     void listAfterFailure();
+    /// Sends watches again that have waited long although the store has changed: their connection may be silent.
+    void replaceSilentWatches();
     /// Writes this VM's registration unless \p registered, the one in the store (null if there is none), equals it.
     void registerSelf(const StoreObject* registered);
     void tick();
     void recordLoopDelay();
     void continueStop();
 
-    /// Sends watches again that have waited long although the store has changed: their connection may be silent.
-    void replaceSilentWatches();
     // Queues events for the reducer and performs its effects.
     void dispatch(const entry::EntryEvent& event);
     void perform(const entry::SendAttempt& effect);
@@ -97,7 +103,7 @@
     void perform(const entry::RecordEvacuation& effect);
     void perform(const entry::RemoveEvacuationRecord& effect);
     void perform(const entry::WriteLog& effect);
-    void answerCaller(RequestId request, CallerAnswer answer);
+    void answerCaller(RequestId request, CallerAnswer answer, AnswerMemory::Share memory = {});
 
     // Answers that are made from the state in memory.
     [[nodiscard]] HttpGetServer::Answer serveReadiness(std::string_view target) const;
@@ -112,6 +118,7 @@
     NonBlockingLog m_log;
     Metrics m_metrics;
     entry::EntryState m_state;
+    AnswerMemory m_answerMemory;
     TargetConnections m_targetConnections;
     MessageSocket m_messageSocket;
     CallerHandlers m_callerHandlers;
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -142,6 +142,10 @@
         else
             self->m_hasSentRequest = true;
     });
+    m_answerMemory = m_owner.m_answerMemory.hold("target " + m_parameters.target, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->fail(entry::AttemptProgress::Sent, "answer: the answers that are held exceed their memory");
+    });
     readAnswer();
 }
 
@@ -149,7 +153,9 @@
 {
     m_parser.emplace();
     m_parser->body_limit(maxAnswerBytes);
-    readMore();
+    countAnswerMemory();
+    if (!m_hasEnded)
+        readMore();
 }
 
 void TargetAttempt::readMore()
@@ -163,21 +169,22 @@
             self->fail(entry::AttemptProgress::Sent, "answer: " + ec.message());
             return;
         }
-        if (self->m_parser->is_done()) {
-            self->handleAnswer();
+        self->countAnswerMemory();
+        if (self->m_hasEnded)
             return;
-        }
-        self->setAnswerBytes(self->m_parser->get().body().size() + self->m_buffer.size());
-        if (!self->m_hasEnded)
+        if (self->m_parser->is_done())
+            self->handleAnswer();
+        else
             self->readMore();
     });
 }
 
-void TargetAttempt::setAnswerBytes(std::uint64_t n) { m_owner.countAnswerBytes(std::exchange(m_answerBytes, n), n); }
-
-void TargetAttempt::failForMemory()
+void TargetAttempt::countAnswerMemory()
 {
-    fail(entry::AttemptProgress::Sent, "answer: the answers that are being received exceed their memory");
+    // A string that grows holds up to twice its size. The parser reserves an announced length with the first bytes of
+    // the body, so that it is counted as soon as the head is read.
+    const auto announced = m_parser->is_header_done() ? m_parser->content_length().value_or(0) : 0;
+    m_answerMemory.resize(std::max<std::uint64_t>(m_parser->get().body().capacity(), announced) + m_buffer.capacity());
 }
 
 bool TargetAttempt::isAnswerToThisRequest() const
@@ -219,6 +226,8 @@
         && m_skippedAnswers == 0;
     const auto idleTimeout = keepAliveTimeout();
     result.answer = m_parser->release();
+    m_answerMemory.resize(result.answer.body().capacity());
+    result.memory = std::move(m_answerMemory);
     const auto& names = m_owner.m_names;
     result.notRun = result.answer.count(names.notRun) != 0;
     result.hasSignature = result.answer.count(names.signature) != 0;
@@ -256,7 +265,7 @@
         return;
     const auto self = shared_from_this();
     m_connectTimer.cancel();
-    setAnswerBytes(0);
+    m_answerMemory.markEnding();
     m_owner.m_attempts.erase(m_parameters.attempt);
     if (auto done = std::exchange(m_done, {}))
         done(std::move(result));
--- a/src/node/target_attempt.hpp
+++ b/src/node/target_attempt.hpp
@@ -15,18 +15,14 @@
 
     void start(std::shared_ptr<Tcp::socket> idleSocket);
     void cancel();
-    /// \brief Fails the attempt, because the answers that are being received exceed their memory.
-    void failForMemory();
-
-    /// \brief Number of bytes of the answer that have been received and are held in memory.
-    [[nodiscard]] std::uint64_t answerBytes() const noexcept { return m_answerBytes; }
 
 private:
     void connect(const Tcp::endpoint& endpoint);
     void sendRequest();
     void readAnswer();
     void readMore();
-    void setAnswerBytes(std::uint64_t n);
+    /// Counts the memory allocated for the answer. The attempt fails if that releases its answer.
+    void countAnswerMemory();
     void handleAnswer();
     void fail(entry::AttemptProgress progress, std::string detail);
     void finish(AttemptResult result);
@@ -46,7 +42,7 @@
     bool m_hasConnectSucceeded = false; ///< whether a new connection was opened; stays false on an idle connection
     bool m_hasSentRequest = false; ///< whether the whole request is written
     bool m_hasEnded = false;
-    std::uint64_t m_answerBytes = 0;
+    AnswerMemory::Share m_answerMemory;
     std::uint32_t m_skippedAnswers = 0; ///< answers that are informational or not to this request
 };
 
--- a/src/node/target_connections.cpp
+++ b/src/node/target_connections.cpp
@@ -111,19 +111,6 @@
     targetAttempt->start(std::move(idleSocket));
 }
 
-void TargetConnections::countAnswerBytes(std::uint64_t before, std::uint64_t now)
-{
-    m_answerBytes = m_answerBytes - before + now;
-    if (m_answerBytes <= m_maxAnswerBytes || now <= before)
-        return;
-    const auto longest
-        = std::ranges::max_element(m_attempts, {}, [](const auto& item) { return item.second->answerBytes(); });
-    if (longest == m_attempts.end())
-        return;
-    const auto attempt = longest->second;
-    attempt->failForMemory();
-}
-
 void TargetConnections::cancel(entry::AttemptId attempt)
 {
     const auto it = m_attempts.find(attempt);
--- a/src/node/target_connections.hpp
+++ b/src/node/target_connections.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/answer_memory.hpp"
 #include "node/caller_session.hpp"
 #include "node/network.hpp"
 #include "node/object_store.hpp"
@@ -19,6 +20,7 @@
     std::optional<entry::AttemptProgress> failure; ///< how far the attempt got if it has no usable answer
     std::string detail; ///< reason of the failure
     CallerAnswer answer;
+    AnswerMemory::Share memory; ///< of \ref answer
     bool notRun = false; ///< the target reports that it did not run the request
     bool hasSignature = false; ///< the answer has the signature header; the signature is not verified
     std::optional<entry::LoadReport> load;
@@ -35,12 +37,11 @@
 public:
     using Done = std::function<void(AttemptResult)>;
 
-    /// \param maxAnswerBytes limit on the bytes of all answers that are being received; past it, the attempt with the
-    /// longest answer fails
-    TargetConnections(asio::io_context& context, HeaderNames names, std::uint64_t maxAnswerBytes)
+    /// \param memory counts the answers that are being received; an attempt whose answer is released fails
+    TargetConnections(asio::io_context& context, HeaderNames names, AnswerMemory& memory)
         : m_context(context)
         , m_names(std::move(names))
-        , m_maxAnswerBytes(maxAnswerBytes)
+        , m_answerMemory(memory)
     {
     }
 
@@ -67,13 +68,10 @@
     [[nodiscard]] std::shared_ptr<Tcp::socket> takeIdle(const std::string& target, Duration idleTimeLimit);
     void storeIdle(const std::string& target, std::shared_ptr<Tcp::socket> socket, Duration keepAliveTimeout);
     void removeIdle(const std::string& target, const Tcp::socket* socket);
-    /// Changes the number of bytes of answers that are being received. Past the limit, fails the longest one.
-    void countAnswerBytes(std::uint64_t before, std::uint64_t now);
 
     asio::io_context& m_context;
     HeaderNames m_names;
-    std::uint64_t m_maxAnswerBytes;
-    std::uint64_t m_answerBytes = 0; ///< of all answers that are being received
+    AnswerMemory& m_answerMemory;
     std::map<entry::AttemptId, std::shared_ptr<TargetAttempt>> m_attempts;
     std::map<std::string, std::vector<IdleConnection>>
         m_idleConnections; ///< by target; the most recently used one is last
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -23,6 +23,7 @@
                 .limits = [this]() -> const entry::CallerLimits& { return limits; },
                 .isStopping = [this] { return isStopping; },
                 .logUnreadableRequest = [](const std::string&) {},
+                .logConnectionDropped = [this](const std::string&, std::size_t) { ++droppedConnections; },
             };
             Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
             caller.connect(acceptor.local_endpoint());
@@ -58,6 +59,7 @@
         std::vector<std::pair<RequestId, std::string>> receivedRequests;
         std::vector<RequestId> abandonedRequests;
         RequestId lastId = 0;
+        int droppedConnections = 0;
         bool isStopping = false;
     };
 
@@ -186,4 +188,27 @@
     EXPECT_TRUE(abandonedRequests.empty());
 }
 
+// Guards against a VM that runs out of memory because a caller sends requests and does not read their answers.
+TEST_F(CallerSessionFailure, CallerThatLeavesTooManyAnswersUnreadLosesItsConnection)
+{
+    constexpr std::size_t answerBytes = 16U << 20U;
+    AnswerMemory memory(answerBytes * 3 / 2);
+    writeText(caller, get("/1") + get("/2"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 2; }));
+    auto share = memory.hold("target", [] { ADD_FAILURE() << "the caller holds more"; });
+    share.resize(answerBytes);
+    CallerAnswer large(http::status::ok, 11);
+    large.body() = std::string(answerBytes, 'x');
+    session->answer(1, std::move(large), std::move(share));
+    context.run_for(std::chrono::milliseconds(50));
+    auto other = memory.hold("other target", [] { ADD_FAILURE() << "the caller holds more"; });
+    other.resize(answerBytes / 2);
+    EXPECT_EQ(droppedConnections, 0);
+    other.resize(answerBytes / 2 + 1);
+    EXPECT_EQ(droppedConnections, 1);
+    EXPECT_EQ(abandonedRequests, std::vector<RequestId> { 2 });
+    EXPECT_TRUE(runUntil(context, [&] { return memory.bytes() == answerBytes / 2 + 1; }));
+    EXPECT_EQ(memory.releasedAnswers(), 1U);
+}
+
 } // namespace arbutuscrank::node::test
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <malloc.h>
 #include <memory>
 #include <vector>
 
@@ -40,6 +41,13 @@
     constexpr std::size_t socketBufferBytes = 12U << 20U;
     constexpr std::size_t blockBytes = 16U << 10U;
 
+    /// Bytes that are allocated on the heap.
+    std::size_t allocatedBytes()
+    {
+        const auto info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    }
+
     std::string repeat(const std::string& text)
     {
         std::string out;
@@ -259,4 +267,52 @@
     EXPECT_EQ(send(sound).answer.body(), "own");
 }
 
+// Guards against a VM that runs out of memory because more is allocated for the answers of a faulty target than is
+// counted, and against answers of sound targets that are given up for it.
+TEST_F(TargetAnswersFailure, EndlessAnswersOfOneTargetTakeNoMoreMemoryThanAllowed)
+{
+    constexpr std::size_t limit = 8U << 20U;
+    constexpr std::size_t answerCount = 48;
+    // A string whose memory grows is copied, so that twice its bytes are allocated for a moment.
+    constexpr std::size_t allowed = 2 * limit;
+    const std::string ok = "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\n";
+    for (const auto& start :
+        { ok + "\r\n", ok + "Transfer-Encoding: chunked\r\n\r\n", ok + "Content-Length: 30000000\r\n\r\n" }) {
+        AnswerMemory smallMemory(limit);
+        TargetConnections smallConnections(context, makeHeaderNames(), smallMemory);
+        CallerRequest request(http::verb::get, "/a/1", 11);
+        request.set("Id", "r1");
+        std::vector<std::unique_ptr<EndlessTarget>> faulty;
+        std::size_t failures = 0;
+        const auto before = allocatedBytes();
+        std::size_t peak = before;
+        for (std::size_t i = 0; i < answerCount; ++i) {
+            faulty.push_back(
+                std::make_unique<EndlessTarget>(start, repeat("400\r\n" + std::string(1024, 'x') + "\r\n")));
+            auto sent = makeAttempt(faulty.back()->server);
+            sent.target = "faulty";
+            smallConnections.send(sent, request, [&](const AttemptResult& result) {
+                EXPECT_EQ(result.failure, entry::AttemptProgress::Sent);
+                ++failures;
+            });
+        }
+        const std::string body(limit / 4, 'y');
+        const ScriptedServer sound([&](Tcp::socket& socket, int) {
+            if (!readRequest(socket).empty())
+                writeText(socket, answer("r1", body));
+        });
+        std::optional<AttemptResult> own;
+        smallConnections.send(makeAttempt(sound), request, [&](AttemptResult it) { own = std::move(it); });
+        EXPECT_TRUE(runUntil(context, [&] {
+            peak = std::max(peak, allocatedBytes());
+            return failures == answerCount && own;
+        }));
+        EXPECT_LE(peak - before, allowed) << start;
+        ASSERT_TRUE(own) << start;
+        EXPECT_EQ(own->answer.body().size(), body.size()) << own->detail;
+        own.reset();
+        EXPECT_EQ(smallMemory.bytes(), 0U) << start;
+    }
+}
+
 } // namespace arbutuscrank::node::test
--- a/tests/node/target_fixture.hpp
+++ b/tests/node/target_fixture.hpp
@@ -66,7 +66,8 @@
 
     asio::io_context context;
     static constexpr std::uint64_t maxAnswerBytes = 48U << 20U;
-    TargetConnections connections { context, makeHeaderNames(), maxAnswerBytes };
+    AnswerMemory memory { maxAnswerBytes };
+    TargetConnections connections { context, makeHeaderNames(), memory };
     entry::AttemptId attempt = 0;
 };
 
