Keep a session alive while requests are unanswered and none is read

Cause: only reads, writes and waits in progress own a session. With 64 requests there was none; in the stop, the wait for the caller's close ended with the bytes of the next request and was not repeated.

Change: while requests are unanswered and none is read, the session waits for a close. Unread bytes hide a close from that wait, so the socket is then asked every 200 ms.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -11,6 +11,8 @@
     constexpr std::size_t maxPipelinedRequests = 64;
     /// A connection whose caller acknowledges no data for this time counts as broken.
     constexpr Duration callerAckTimeout = std::chrono::seconds(6);
+    /// Interval at which a connection with unread bytes is checked for a close, which its socket does not report then.
+    constexpr Duration disconnectCheckInterval = std::chrono::milliseconds(200);
 
     void removeConnectionHeaders(CallerAnswer& answer)
     {
@@ -36,6 +38,7 @@
 CallerSession::CallerSession(Tcp::socket socket, const CallerHandlers& handlers)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
+    , m_disconnectTimer(m_socket.get_executor())
     , m_handlers(handlers)
 {
     setSocketOptions(m_socket, callerAckTimeout);
@@ -54,8 +57,12 @@
 
 void CallerSession::waitForRequest()
 {
-    if (m_isReading || m_hasReadLastRequest || m_isClosed || m_pendingAnswers.size() >= maxPipelinedRequests)
+    if (m_isReading || m_hasReadLastRequest || m_isClosed)
         return;
+    if (m_pendingAnswers.size() >= maxPipelinedRequests) {
+        watchForDisconnect();
+        return;
+    }
     m_isReading = true;
     const auto& limits = m_handlers.limits();
     m_parser.emplace();
@@ -120,15 +127,23 @@
 
 void CallerSession::watchForDisconnect()
 {
-    if (m_isClosed)
+    if (m_isClosed || m_isWatchingForDisconnect)
         return;
+    m_isWatchingForDisconnect = true;
     m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](SystemError ec) {
-        if (ec || self->m_isClosed || self->m_pendingAnswers.empty())
+        if (ec || self->m_isClosed)
             return;
-        char byte = 0;
-        const auto n = self->m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
-        if (ec || n == 0)
+        if (self->hasCallerClosed()) {
             self->closeAndReportUnanswered();
+            return;
+        }
+        // Bytes of further requests are unread, so that the socket stays readable.
+        self->m_disconnectTimer.expires_after(disconnectCheckInterval);
+        self->m_disconnectTimer.async_wait([self](SystemError timerEc) {
+            self->m_isWatchingForDisconnect = false;
+            if (!timerEc && !self->m_isReading && !self->m_pendingAnswers.empty())
+                self->watchForDisconnect();
+        });
     });
 }
 
@@ -153,6 +168,7 @@
     if (m_isClosed)
         return;
     close();
+    m_currentMemory.markEnding();
     for (const auto& pending : std::exchange(m_pendingAnswers, {})) {
         if (pending.request != 0 && !pending.answer)
             m_handlers.onCallerDisconnected(pending.request);
@@ -175,10 +191,14 @@
     if (it == m_pendingAnswers.end() || m_isClosed)
         return;
     it->answer = std::move(answer);
+    it->memory = std::move(memory);
+    it->memory.assign("caller " + std::to_string(m_socket.native_handle()), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->closeForMemory();
+    });
     writeNext();
 }
 
-    m_currentMemory.markEnding();
 void CallerSession::writeNext()
 {
     if (m_isWriting || m_isClosed || m_pendingAnswers.empty() || !m_pendingAnswers.front().answer)
@@ -186,27 +206,23 @@
     auto& front = m_pendingAnswers.front();
     m_isWriting = true;
     m_currentAnswer = std::move(front.answer);
+    m_currentMemory = std::move(front.memory);
     const bool isLastPending = m_pendingAnswers.size() == 1;
     const bool closesConnection = !front.keepAlive || (m_handlers.isStopping() && isLastPending);
     removeConnectionHeaders(*m_currentAnswer);
     m_currentAnswer->version(11);
     m_currentAnswer->keep_alive(!closesConnection);
-    it->memory = std::move(memory);
-    it->memory.assign("caller " + std::to_string(m_socket.native_handle()), [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->closeForMemory();
-    });
     m_currentAnswer->prepare_payload();
     m_pendingAnswers.pop_front();
     http::async_write(
         m_socket, *m_currentAnswer, [self = shared_from_this(), closesConnection](SystemError ec, std::size_t) {
             self->m_isWriting = false;
             self->m_currentAnswer.reset();
+            self->m_currentMemory = {};
             if (self->m_isClosed)
                 return;
             if (ec) {
                 self->closeAndReportUnanswered();
-    m_currentMemory = std::move(front.memory);
                 return;
             }
             if (closesConnection) {
@@ -218,7 +234,6 @@
             }
             self->writeNext();
             self->waitForRequest();
-            self->m_currentMemory = {};
         });
 }
 
@@ -244,6 +259,7 @@
         return;
     m_isClosed = true;
     m_timer.cancel();
+    m_disconnectTimer.cancel();
     SystemError ec;
     m_socket.close(ec); // the socket is discarded, so an error has no effect
 }
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -74,27 +74,30 @@
 
     void waitForRequest();
     void readRequest();
-    /// Notices that the caller disconnects while no further request is read.
+    /// Notices that the caller disconnects while no further request is read, and keeps the session alive until all
+    /// requests are answered.
     void watchForDisconnect();
     void acceptRequest(http::request_parser<http::string_body>& parser);
     void handleReadError(SystemError ec);
     void writeNext();
     void closeIfNoneUnansweredAfter(Duration duration);
     void closeAndReportUnanswered();
-    void close();
     void closeForMemory();
+    void close();
 
     Tcp::socket m_socket;
     asio::steady_timer m_timer;
+    asio::steady_timer m_disconnectTimer;
     const CallerHandlers& m_handlers;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::deque<PendingAnswer> m_pendingAnswers;
     std::optional<CallerAnswer> m_currentAnswer; ///< the answer that is being written
+    AnswerMemory::Share m_currentMemory; ///< of \ref m_currentAnswer
     std::uint64_t m_timerGeneration = 0;
     bool m_isReading = false;
-    AnswerMemory::Share m_currentMemory; ///< of \ref m_currentAnswer
     bool m_isWriting = false;
+    bool m_isWatchingForDisconnect = false;
     bool m_hasReadLastRequest = false; ///< if true, no further request is read
     bool m_isClosed = false;
 };
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -211,4 +211,66 @@
     EXPECT_EQ(memory.releasedAnswers(), 1U);
 }
 
+// Guards against a connection that closes without its answers while it reads no further request, because nothing owns
+// it: the requests had all run.
+TEST_F(CallerSessionFailure, ConnectionWithManyPipelinedRequestsStaysOpen)
+{
+    constexpr std::size_t requestCount = 70;
+    std::string requests;
+    for (std::size_t i = 0; i < requestCount; ++i)
+        requests += get("/1");
+    writeText(caller, requests);
+    context.run_for(std::chrono::milliseconds(500));
+    ASSERT_LT(receivedRequests.size(), requestCount);
+    const std::weak_ptr<CallerSession> weak = session;
+    session.reset();
+    context.restart();
+    context.run_for(std::chrono::milliseconds(500));
+    session = weak.lock();
+    ASSERT_TRUE(session);
+    for (std::size_t i = 0; i < requestCount; ++i) {
+        ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() > i; }));
+        answer(receivedRequests[i].first, "end");
+    }
+    EXPECT_TRUE(abandonedRequests.empty());
+    EXPECT_NE(readAvailable(requestCount * 40).find("end"), std::string::npos);
+}
+
+// Guards against work for a caller that has disconnected while its connection reads no further request.
+TEST_F(CallerSessionFailure, CloseIsNoticedBehindManyPipelinedRequests)
+{
+    std::string requests;
+    for (int i = 0; i < 70; ++i)
+        requests += get("/1");
+    writeText(caller, requests);
+    context.run_for(std::chrono::milliseconds(300));
+    const auto n = receivedRequests.size();
+    ASSERT_GT(n, 0U);
+    caller.close();
+    EXPECT_TRUE(runUntil(context, [&] { return abandonedRequests.size() == n; }));
+}
+
+// Guards against a stop that closes a connection without the answer to a request that runs, because further requests
+// arrive on it.
+TEST_F(CallerSessionFailure, RequestsBehindTheLastOneOfAStopDoNotCloseTheConnection)
+{
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    isStopping = true;
+    session->stopReading();
+    const std::weak_ptr<CallerSession> weak = session;
+    session.reset();
+    for (const auto* path : { "/2", "/3" }) {
+        writeText(caller, get(path));
+        context.restart();
+        context.run_for(std::chrono::milliseconds(300));
+    }
+    session = weak.lock();
+    ASSERT_TRUE(session);
+    answer(1, "first");
+    EXPECT_NE(readAvailable(1).find("first"), std::string::npos);
+    EXPECT_EQ(receivedRequests.size(), 1U);
+    EXPECT_TRUE(abandonedRequests.empty());
+}
+
 } // namespace arbutuscrank::node::test
