Take no request behind an answer that closes its connection

A caller that sent a request while a stopping VM wrote the last answer of the connection got no answer to it, although it ran (LOST; found by reading).

Cause: that the answer closes the connection was decided before it was written, but requests were read until it was.

Change: no request is taken from then on. Callers send requests behind a closing answer again, since they were not read.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -213,6 +213,8 @@
     m_currentAnswer->version(11);
     m_currentAnswer->keep_alive(!closesConnection);
     m_currentAnswer->prepare_payload();
+    // Callers send requests behind an answer that closes the connection again, so those must not run.
+    m_hasReadLastRequest = m_hasReadLastRequest || closesConnection;
     m_pendingAnswers.pop_front();
     http::async_write(
         m_socket, *m_currentAnswer, [self = shared_from_this(), closesConnection](SystemError ec, std::size_t) {
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -51,6 +51,23 @@
             return text;
         }
 
+        /// Reads until the connection ends, while the event loop runs. \returns the number of bytes
+        std::size_t readToEnd()
+        {
+            std::size_t total = 0;
+            SystemError ec;
+            std::vector<char> buf(1U << 20U);
+            caller.non_blocking(true);
+            const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+            while ((!ec || ec == asio::error::would_block) && std::chrono::steady_clock::now() < end) {
+                total += caller.read_some(asio::buffer(buf), ec);
+                context.restart();
+                context.run_for(std::chrono::milliseconds(1));
+            }
+            EXPECT_EQ(ec, asio::error::eof);
+            return total;
+        }
+
         asio::io_context context;
         CallerHandlers handlers;
         entry::CallerLimits limits;
@@ -273,4 +290,23 @@
     EXPECT_TRUE(abandonedRequests.empty());
 }
 
+// Guards against a request that runs although it came behind an answer that closes its connection: its caller gets no
+// answer, and sends it again.
+TEST_F(CallerSessionFailure, RequestBehindAClosingAnswerIsNotAccepted)
+{
+    constexpr std::size_t answerBytes = 16U << 20U;
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    isStopping = true;
+    answer(1, std::string(answerBytes, 'x'));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+    writeText(caller, get("/2"));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(receivedRequests.size(), 1U);
+    EXPECT_GT(readToEnd(), answerBytes);
+    EXPECT_TRUE(abandonedRequests.empty());
+}
+
 } // namespace arbutuscrank::node::test
