Leave a connection open after its last answer until the caller closes it

Cause: the session closed the socket right after its last answer. To close a socket with unread bytes resets the connection and discards what has not been sent.

Change: the session ends the sending direction and waits for the caller's close, at most 1 s. A planned stop waits for that too.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -11,6 +11,8 @@
     constexpr std::size_t maxPipelinedRequests = 64;
     /// A connection whose caller acknowledges no data for this time counts as broken.
     constexpr Duration callerAckTimeout = std::chrono::seconds(6);
+    /// Time for which a connection stays open after its last answer if the caller does not close it.
+    constexpr Duration callerCloseTimeout = std::chrono::seconds(1);
     /// Interval at which a connection with unread bytes is checked for a close, which its socket does not report then.
     constexpr Duration disconnectCheckInterval = std::chrono::milliseconds(200);
 
@@ -39,6 +41,7 @@
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_disconnectTimer(m_socket.get_executor())
+    , m_closeTimer(m_socket.get_executor())
     , m_handlers(handlers)
 {
     setSocketOptions(m_socket, callerAckTimeout);
@@ -141,7 +144,8 @@
         self->m_disconnectTimer.expires_after(disconnectCheckInterval);
         self->m_disconnectTimer.async_wait([self](SystemError timerEc) {
             self->m_isWatchingForDisconnect = false;
-            if (!timerEc && !self->m_isReading && !self->m_pendingAnswers.empty())
+            const bool mustWatch = !self->m_pendingAnswers.empty() || self->m_isWaitingForCallerToClose;
+            if (!timerEc && !self->m_isReading && mustWatch)
                 self->watchForDisconnect();
         });
     });
@@ -209,12 +213,12 @@
     m_currentMemory = std::move(front.memory);
     const bool isLastPending = m_pendingAnswers.size() == 1;
     const bool closesConnection = !front.keepAlive || (m_handlers.isStopping() && isLastPending);
+    // Callers send requests behind an answer that closes the connection again, so those must not run.
+    m_hasReadLastRequest = m_hasReadLastRequest || closesConnection;
     removeConnectionHeaders(*m_currentAnswer);
     m_currentAnswer->version(11);
     m_currentAnswer->keep_alive(!closesConnection);
     m_currentAnswer->prepare_payload();
-    // Callers send requests behind an answer that closes the connection again, so those must not run.
-    m_hasReadLastRequest = m_hasReadLastRequest || closesConnection;
     m_pendingAnswers.pop_front();
     http::async_write(
         m_socket, *m_currentAnswer, [self = shared_from_this(), closesConnection](SystemError ec, std::size_t) {
@@ -228,10 +232,7 @@
                 return;
             }
             if (closesConnection) {
-                SystemError ignored;
-                self->m_socket.shutdown(Tcp::socket::shutdown_send, ignored); // the caller may have closed already
-                self->m_hasReadLastRequest = true;
-                self->closeAndReportUnanswered();
+                self->waitForCallerToClose();
                 return;
             }
             self->writeNext();
@@ -239,6 +240,20 @@
         });
 }
 
+void CallerSession::waitForCallerToClose()
+{
+    // To close a connection with unread bytes resets it, and the caller may lose the end of its answer.
+    m_isWaitingForCallerToClose = true;
+    SystemError ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored); // the caller may have closed already
+    m_closeTimer.expires_after(callerCloseTimeout);
+    m_closeTimer.async_wait([weak = weak_from_this()](SystemError ec) {
+        if (const auto self = weak.lock(); self && !ec)
+            self->closeAndReportUnanswered();
+    });
+    watchForDisconnect();
+}
+
 bool CallerSession::hasCallerClosed()
 {
     if (m_isClosed || !m_socket.is_open())
@@ -260,8 +275,10 @@
     if (m_isClosed)
         return;
     m_isClosed = true;
+    m_isWaitingForCallerToClose = false;
     m_timer.cancel();
     m_disconnectTimer.cancel();
+    m_closeTimer.cancel();
     SystemError ec;
     m_socket.close(ec); // the socket is discarded, so an error has no effect
 }
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -61,7 +61,9 @@
     /// event loop reports it, also behind unread bytes of further requests.
     [[nodiscard]] bool hasCallerClosed();
 
-    [[nodiscard]] bool hasNoUnansweredRequest() const noexcept { return m_pendingAnswers.empty() && !m_isWriting; }
+    /// \brief Whether the session may end without the loss of an answer: none is owed, none is being written, and the
+    /// caller has taken the last one.
+    [[nodiscard]] bool owesNothing() const noexcept { return hasNoUnansweredRequest() && !m_isWaitingForCallerToClose; }
 
 private:
     struct PendingAnswer {
@@ -72,6 +74,7 @@
         AnswerMemory::Share memory; ///< of \ref answer
     };
 
+    [[nodiscard]] bool hasNoUnansweredRequest() const noexcept { return m_pendingAnswers.empty() && !m_isWriting; }
     void waitForRequest();
     void readRequest();
     /// Notices that the caller disconnects while no further request is read, and keeps the session alive until all
@@ -81,6 +84,8 @@
     void handleReadError(SystemError ec);
     void writeNext();
     void closeIfNoneUnansweredAfter(Duration duration);
+    /// Ends the sending direction after the last answer and leaves the connection open until the caller closes it.
+    void waitForCallerToClose();
     void closeAndReportUnanswered();
     void closeForMemory();
     void close();
@@ -88,6 +93,7 @@
     Tcp::socket m_socket;
     asio::steady_timer m_timer;
     asio::steady_timer m_disconnectTimer;
+    asio::steady_timer m_closeTimer;
     const CallerHandlers& m_handlers;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
@@ -99,6 +105,7 @@
     bool m_isWriting = false;
     bool m_isWatchingForDisconnect = false;
     bool m_hasReadLastRequest = false; ///< if true, no further request is read
+    bool m_isWaitingForCallerToClose = false;
     bool m_isClosed = false;
 };
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -271,7 +271,7 @@
     // A request leaves m_pendingRequests when its answer is passed to its session, which may write it for seconds.
     const auto unansweredConnections = std::ranges::count_if(m_sessions, [](const auto& weak) {
         const auto session = weak.lock();
-        return session && !session->hasNoUnansweredRequest();
+        return session && !session->owesNothing();
     });
     const bool isIdle = m_hasStoppedListening && m_pendingRequests.empty() && unansweredConnections == 0;
     // Answers that have arrived may use the rest of the grace. The next tick would come after its end.
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -309,4 +309,35 @@
     EXPECT_TRUE(abandonedRequests.empty());
 }
 
+// Guards against an answer whose end is lost, because its connection is closed with unread requests and thereby reset.
+TEST_F(CallerSessionFailure, UnreadRequestsDoNotCutTheLastAnswer)
+{
+    constexpr std::size_t answerBytes = 1U << 20U; // fits into the buffers of the connection
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    isStopping = true;
+    session->stopReading();
+    for (const auto* path : { "/2", "/3", "/4" }) {
+        writeText(caller, get(path));
+        context.restart();
+        context.run_for(std::chrono::milliseconds(20));
+    }
+    answer(1, std::string(answerBytes, 'x'));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(300)); // the whole answer is in the buffers
+    EXPECT_GT(readToEnd(), answerBytes);
+    EXPECT_EQ(receivedRequests.size(), 1U);
+}
+
+// Guards against connections that stay open because their caller does not close them.
+TEST_F(CallerSessionFailure, ConnectionThatItsCallerLeavesOpenIsClosed)
+{
+    writeText(caller, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    answer(1, "whole");
+    const std::weak_ptr<CallerSession> weak = session;
+    session.reset();
+    EXPECT_TRUE(runUntil(context, [&] { return weak.expired(); }));
+}
+
 } // namespace arbutuscrank::node::test
