Let a stop leave connections open that wait for their caller's close

When a stopping VM stops listening, it closed connections whose last answer was written but not yet taken, which resets them if requests behind it are unread. They now keep their second, as after any last answer. Found by reading; covered by the tests of the session as far as one connection goes, no test of the moment itself.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -266,7 +266,7 @@
 
 void CallerSession::closeIfNoneUnanswered()
 {
-    if (hasNoUnansweredRequest())
+    if (owesNothing())
         close();
 }
 
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -53,8 +53,7 @@
     /// that the caller sends later ones again.
     void stopReading();
 
-    /// \brief Closes the connection if no request that was read completely is unanswered and no answer is being
-    /// written. A request that is still being read is dropped.
+    /// \brief Closes the connection if \ref owesNothing. A request that is still being read is dropped.
     void closeIfNoneUnanswered();
 
     /// \brief Whether the caller has closed the connection. It asks the socket, so that it sees a close before the
