Reword a comment that could be read in two ways

In CallerSession::writeNext(), 'closes the connection again' could be read as closing twice; what callers do again is to send the request.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -213,7 +213,7 @@
     m_currentMemory = std::move(front.memory);
     const bool isLastPending = m_pendingAnswers.size() == 1;
     const bool closesConnection = !front.keepAlive || (m_handlers.isStopping() && isLastPending);
-    // Callers send requests behind an answer that closes the connection again, so those must not run.
+    // Requests that arrive behind a closing answer must not run: callers count them as unread and resend them.
     m_hasReadLastRequest = m_hasReadLastRequest || closesConnection;
     removeConnectionHeaders(*m_currentAnswer);
     m_currentAnswer->version(11);
