--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -65,6 +65,7 @@
     AttemptFailed = 606,
     AnswerValueRefused = 607,
     CallerConnectionDropped = 608,
+    CallerConnectionCut = 609,
     // 7xx: steering
     PlanApplied = 700,
     ShiftStepped = 701,
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -103,6 +103,8 @@
         return "answer-value-refused";
     case LogEvent::CallerConnectionDropped:
         return "caller-connection-dropped";
+    case LogEvent::CallerConnectionCut:
+        return "caller-connection-cut";
     case LogEvent::PlanApplied:
         return "plan-applied";
     case LogEvent::ShiftStepped:
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -37,6 +37,23 @@
 
 } // namespace
 
+std::string_view toString(CloseCause cause) noexcept
+{
+    switch (cause) {
+    case CloseCause::Idle:
+        return "idle";
+    case CloseCause::Stop:
+        return "stop";
+    case CloseCause::LastAnswer:
+        return "last-answer";
+    case CloseCause::WriteFailed:
+        return "write-failed";
+    case CloseCause::ProcessEnd:
+        return "process-end";
+    }
+    return "unknown";
+}
+
 CallerSession::CallerSession(Tcp::socket socket, const CallerHandlers& handlers)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
@@ -53,8 +70,10 @@
     m_timer.async_wait([weak = weak_from_this(), generation = ++m_timerGeneration](SystemError ec) {
         const auto self = weak.lock();
         // The handler of an earlier wait may already be queued when the timer is set again; the generation rejects it.
-        if (!ec && self && generation == self->m_timerGeneration && self->hasNoUnansweredRequest())
+        if (!ec && self && generation == self->m_timerGeneration && self->hasNoUnansweredRequest()) {
+            self->reportCut(CloseCause::Idle);
             self->close();
+        }
     });
 }
 
@@ -222,6 +241,9 @@
     m_pendingAnswers.pop_front();
     http::async_write(
         m_socket, *m_currentAnswer, [self = shared_from_this(), closesConnection](SystemError ec, std::size_t) {
+            // After these errors the caller has closed the connection itself.
+            if (ec && ec != asio::error::broken_pipe && ec != asio::error::connection_reset)
+                self->reportCut(CloseCause::WriteFailed);
             self->m_isWriting = false;
             self->m_currentAnswer.reset();
             self->m_currentMemory = {};
@@ -248,8 +270,10 @@
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored); // the caller may have closed already
     m_closeTimer.expires_after(callerCloseTimeout);
     m_closeTimer.async_wait([weak = weak_from_this()](SystemError ec) {
-        if (const auto self = weak.lock(); self && !ec)
+        if (const auto self = weak.lock(); self && !ec) {
+            self->reportCut(CloseCause::LastAnswer);
             self->closeAndReportUnanswered();
+        }
     });
     watchForDisconnect();
 }
@@ -266,8 +290,26 @@
 
 void CallerSession::closeIfNoneUnanswered()
 {
-    if (owesNothing())
-        close();
+    if (!owesNothing())
+        return;
+    reportCut(CloseCause::Stop);
+    close();
+}
+
+void CallerSession::reportCut(CloseCause cause)
+{
+    if (m_isClosed)
+        return;
+    ConnectionCut cut { .cause = cause,
+        .unansweredRequests = m_pendingAnswers.size() + (m_isWriting ? 1 : 0),
+        .unreadBytes = unreadBytes(m_socket),
+        .unacknowledgedBytes = unacknowledgedBytes(m_socket).value_or(0) };
+    if (cut.unansweredRequests + cut.unreadBytes + cut.unacknowledgedBytes == 0)
+        return;
+    SystemError ec;
+    if (const auto caller = m_socket.remote_endpoint(ec); !ec) // fails if the caller has disconnected
+        cut.caller = caller.address().to_string() + ':' + std::to_string(caller.port());
+    m_handlers.logConnectionCut(cut);
 }
 
 void CallerSession::close()
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -12,6 +12,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 
 /// \file
 /// \brief A caller's HTTP connection. Pipelined requests run concurrently and are answered in order.
@@ -25,6 +27,27 @@
 
 class CallerSession;
 
+/// \brief Why the process closes a caller's connection.
+enum class CloseCause : std::uint8_t {
+    Idle, ///< no request arrived, or not all of it, within its time limit
+    Stop, ///< planned stop, no request unanswered
+    LastAnswer, ///< the caller has not closed the connection after its last answer
+    WriteFailed, ///< an answer could not be written
+    ProcessEnd, ///< the process ends
+};
+
+/// \brief Name of the cause in logs and metrics.
+[[nodiscard]] std::string_view toString(CloseCause cause) noexcept;
+
+/// \brief A connection that was closed although data were outstanding, so that its caller may have lost answers.
+struct ConnectionCut {
+    CloseCause cause = CloseCause::Idle;
+    std::string caller; ///< address, empty if the caller has disconnected
+    std::size_t unansweredRequests = 0; ///< requests whose answer was not written whole
+    std::size_t unreadBytes = 0; ///< received and not read; the close resets the connection if there are any
+    std::size_t unacknowledgedBytes = 0; ///< written and not acknowledged by the caller
+};
+
 /// \brief Callbacks from a session to its owner.
 struct CallerHandlers {
     std::function<RequestId()> allocateId; ///< returns the id of the next request
@@ -36,6 +59,7 @@
     std::function<void(const std::string&)> logUnreadableRequest; ///< gets the reason why a request was unreadable
     /// Called when a connection is closed because its caller leaves more answers unread than there is memory for.
     std::function<void(const std::string& caller, std::size_t unansweredRequests)> logConnectionDropped;
+    std::function<void(const ConnectionCut&)> logConnectionCut;
 };
 
 /// \brief Reads the requests of one connection and writes their answers.
@@ -64,6 +88,9 @@
     /// caller has taken the last one.
     [[nodiscard]] bool owesNothing() const noexcept { return hasNoUnansweredRequest() && !m_isWaitingForCallerToClose; }
 
+    /// \brief Logs what is outstanding on the connection, if anything, because the process ends.
+    void reportProcessEnd() { reportCut(CloseCause::ProcessEnd); }
+
 private:
     struct PendingAnswer {
         RequestId request = 0; ///< 0 for an answer that the session itself produced
@@ -87,6 +114,8 @@
     void waitForCallerToClose();
     void closeAndReportUnanswered();
     void closeForMemory();
+    /// Logs what would be lost if the connection were closed now, if anything.
+    void reportCut(CloseCause cause);
     void close();
 
     Tcp::socket m_socket;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -137,9 +137,18 @@
                     fmt::format(
                         "caller={} unanswered={} answer_bytes={}", caller, unansweredRequests, m_answerMemory.bytes()));
             },
+        .logConnectionCut = [this](const ConnectionCut& cut) { recordConnectionCut(cut); },
     };
 }
 
+void EntryNode::recordConnectionCut(const ConnectionCut& cut)
+{
+    ++m_connectionCuts[cut.cause];
+    log(LogEvent::CallerConnectionCut,
+        fmt::format("cause={} caller={} unanswered={} unread_bytes={} unacknowledged_bytes={}", toString(cut.cause),
+            cut.caller, cut.unansweredRequests, cut.unreadBytes, cut.unacknowledgedBytes));
+}
+
 Result<void> EntryNode::start()
 {
     const auto& settings = m_state.settings;
@@ -281,6 +290,10 @@
         return;
     log(isIdle ? LogEvent::StopCompleted : LogEvent::StopForced,
         fmt::format("requests={} connections={}", m_pendingRequests.size(), unansweredConnections));
+    for (const auto& weak : m_sessions) {
+        if (const auto session = weak.lock())
+            session->reportProcessEnd();
+    }
     m_log.flush(currentTime());
     m_context.stop();
 }
@@ -475,6 +488,9 @@
     addMetric("gauge", "answer_memory_bytes", m_answerMemory.bytes());
     addMetric("counter", "answers_released_total", m_answerMemory.releasedAnswers());
     addMetric("counter", "log_lines_dropped_total", m_log.droppedLines());
+    text += "# TYPE arbutuscrank_caller_connections_cut_total counter\n";
+    for (const auto& [cause, count] : m_connectionCuts)
+        text += fmt::format("arbutuscrank_caller_connections_cut_total{{cause=\"{}\"}} {}\n", toString(cause), count);
     return text;
 }
 
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -86,6 +86,7 @@
     void tick();
     void recordLoopDelay();
     void continueStop();
+    void recordConnectionCut(const ConnectionCut& cut);
 
     // Queues events for the reducer and performs its effects.
     void dispatch(const entry::EntryEvent& event);
@@ -144,6 +145,7 @@
     bool m_mustListAfterFailure = false; ///< a read of the policy has failed since the collections were last listed
     RequestId m_lastRequestId = 0;
     std::uint64_t m_failedStoreCalls = 0;
+    std::map<CloseCause, std::uint64_t> m_connectionCuts; ///< connections closed with data outstanding, by cause
     std::map<Collection, TimePoint> m_readConfirmedAt; ///< time as of which the newest read is confirmed
 };
 
--- a/src/node/network.cpp
+++ b/src/node/network.cpp
@@ -1,7 +1,9 @@
 #include "node/network.hpp"
 
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace arbutuscrank::node {
 
@@ -31,6 +33,21 @@
     socket.set_option(UserTimeout(ms), ec);
 }
 
+std::size_t unreadBytes(const Tcp::socket& socket)
+{
+    SystemError ec;
+    const auto n = socket.available(ec);
+    return ec ? 0 : n;
+}
+
+std::optional<std::size_t> unacknowledgedBytes(Tcp::socket& socket)
+{
+    int n = 0;
+    if (!socket.is_open() || ::ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0 || n < 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(n);
+}
+
 Result<Tcp::acceptor> listenOn(asio::io_context& context, const std::string& address)
 {
     BOOST_OUTCOME_TRY(endpoint, parseEndpoint(address));
--- a/src/node/network.hpp
+++ b/src/node/network.hpp
@@ -8,6 +8,7 @@
 #include <arbutuscrank/core/error.hpp>
 #include <arbutuscrank/core/types.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,13 @@
 /// \p ackTimeout.
 void setSocketOptions(Tcp::socket& socket, Duration ackTimeout);
 
+/// \brief Bytes that a connection has received and the process has not read. 0 if the connection has failed.
+[[nodiscard]] std::size_t unreadBytes(const Tcp::socket& socket);
+
+/// \brief Bytes that were written to a connection and its peer has not acknowledged.
+/// \returns nothing if the connection has failed or the system does not tell
+[[nodiscard]] std::optional<std::size_t> unacknowledgedBytes(Tcp::socket& socket);
+
 /// \brief Listens on an address. \returns InvalidArgument if it is not "ip:port", Unavailable with the address and the
 /// cause if it cannot be opened
 [[nodiscard]] Result<Tcp::acceptor> listenOn(asio::io_context& context, const std::string& address);
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -24,6 +24,7 @@
                 .isStopping = [this] { return isStopping; },
                 .logUnreadableRequest = [](const std::string&) {},
                 .logConnectionDropped = [this](const std::string&, std::size_t) { ++droppedConnections; },
+                .logConnectionCut = [this](const ConnectionCut& cut) { cuts.push_back(cut); },
             };
             Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
             caller.connect(acceptor.local_endpoint());
@@ -76,6 +77,7 @@
         std::vector<std::pair<RequestId, std::string>> receivedRequests;
         std::vector<RequestId> abandonedRequests;
         RequestId lastId = 0;
+        std::vector<ConnectionCut> cuts;
         int droppedConnections = 0;
         bool isStopping = false;
     };
@@ -329,6 +331,25 @@
     EXPECT_EQ(receivedRequests.size(), 1U);
 }
 
+// Guards against a log that does not say what was lost with a connection.
+TEST_F(CallerSessionFailure, ConnectionThatIsClosedWithDataOutstandingIsReported)
+{
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    session->reportProcessEnd();
+    ASSERT_EQ(cuts.size(), 1U);
+    EXPECT_EQ(cuts[0].cause, CloseCause::ProcessEnd);
+    EXPECT_EQ(cuts[0].unansweredRequests, 1U);
+    EXPECT_EQ(cuts[0].unreadBytes, 0U);
+    EXPECT_EQ(cuts[0].unacknowledgedBytes, 0U);
+    answer(1, "whole");
+    writeText(caller, get("/2"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20)); // the event loop does not run
+    session->reportProcessEnd();
+    ASSERT_EQ(cuts.size(), 2U);
+    EXPECT_EQ(cuts[1].unreadBytes, get("/2").size());
+}
+
 // Guards against connections that stay open because their caller does not close them.
 TEST_F(CallerSessionFailure, ConnectionThatItsCallerLeavesOpenIsClosed)
 {
