Show with two failing tests that closes cut answers

A caller that reads slowly gets a reset 1 s after its last answer was passed to the kernel, and one whose connection is idle when a planned stop closes it gets one at once, if it sends a further request. Both lose what they have not acknowledged.

--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -331,6 +331,43 @@
     EXPECT_EQ(receivedRequests.size(), 1U);
 }
 
+// Guards against an answer whose end is lost because its caller reads slowly and sends further requests meanwhile.
+TEST_F(CallerSessionFailure, SlowCallerGetsItsLastAnswerWhole)
+{
+    constexpr std::size_t answerBytes = 1U << 20U; // fits into the buffers of the connection
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    isStopping = true;
+    answer(1, std::string(answerBytes, 'x'));
+    for (const auto* path : { "/2", "/3", "/4" }) {
+        writeText(caller, get(path));
+        context.restart();
+        context.run_for(std::chrono::milliseconds(500));
+    }
+    EXPECT_GT(readToEnd(), answerBytes);
+    EXPECT_EQ(receivedRequests.size(), 1U);
+    EXPECT_TRUE(cuts.empty());
+}
+
+// Guards against an answer whose end is lost because a planned stop closes its connection, on which no request is
+// unanswered, and the caller sends another one at that moment.
+TEST_F(CallerSessionFailure, StopDoesNotCutAnAnswerThatItsCallerHasNotReceived)
+{
+    constexpr std::size_t answerBytes = 1U << 20U; // fits into the buffers of the connection
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    answer(1, std::string(answerBytes, 'x'));
+    context.run_for(std::chrono::milliseconds(100));
+    isStopping = true;
+    session->stopReading();
+    session->closeIfNoneUnanswered();
+    writeText(caller, get("/2"));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+    EXPECT_GT(readToEnd(), answerBytes);
+    EXPECT_EQ(receivedRequests.size(), 1U);
+}
+
 // Guards against a log that does not say what was lost with a connection.
 TEST_F(CallerSessionFailure, ConnectionThatIsClosedWithDataOutstandingIsReported)
 {
