Close a caller's connection only when its answers have arrived

Callers saw: the connection is reset around a SIGTERM with part of an answer unread.

Cause: the session closed by time, 1 s after the kernel had taken the last answer, or at once when a planned stop or a time limit found no request unanswered. What the kernel has taken may still wait for the caller. To close a socket with unread bytes, or to get bytes after its close, resets the connection and discards what is not acknowledged.

Change: a session ends its sending direction and stays open until the caller has acknowledged everything (SIOCOUTQ), and for 1 s more if its last answer announced the close. A caller that acknowledges nothing for 6 s is given up, as while an answer is written. Requests behind a closing answer are read and dropped (1 MB at most), so that the close is no reset; requests that cross another close stay unread. A planned stop counts undelivered bytes as owed.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -1,6 +1,9 @@
 #include "node/caller_session.hpp"
 
+#include "node/clock.hpp"
+
 #include <algorithm>
+#include <array>
 #include <poll.h>
 
 namespace arbutuscrank::node {
@@ -11,8 +14,16 @@
     constexpr std::size_t maxPipelinedRequests = 64;
     /// A connection whose caller acknowledges no data for this time counts as broken.
     constexpr Duration callerAckTimeout = std::chrono::seconds(6);
-    /// Time for which a connection stays open after its last answer if the caller does not close it.
+    /// Time for which a connection stays open after the caller has acknowledged its last answer, if the caller does not
+    /// close it.
     constexpr Duration callerCloseTimeout = std::chrono::seconds(1);
+    /// Interval at which it is checked what a caller has acknowledged. The system does not report it.
+    constexpr Duration deliveryCheckInterval = std::chrono::milliseconds(100);
+    /// Bytes of late input that are discarded at a time.
+    constexpr std::size_t discardBytes = 16U << 10U;
+    /// Late input of one connection that is discarded. The rest stays unread, so that a caller that sends without end
+    /// is stopped by the receive window.
+    constexpr std::size_t maxDiscardedBytes = 1U << 20U;
     /// Interval at which a connection with unread bytes is checked for a close, which its socket does not report then.
     constexpr Duration disconnectCheckInterval = std::chrono::milliseconds(200);
 
@@ -70,10 +81,8 @@
     m_timer.async_wait([weak = weak_from_this(), generation = ++m_timerGeneration](SystemError ec) {
         const auto self = weak.lock();
         // The handler of an earlier wait may already be queued when the timer is set again; the generation rejects it.
-        if (!ec && self && generation == self->m_timerGeneration && self->hasNoUnansweredRequest()) {
-            self->reportCut(CloseCause::Idle);
-            self->close();
-        }
+        if (!ec && self && generation == self->m_timerGeneration && self->hasNoUnansweredRequest())
+            self->closeIdle(CloseCause::Idle);
     });
 }
 
@@ -99,6 +108,11 @@
     m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](SystemError ec) {
         if (ec || self->m_isClosed)
             return;
+        if (self->m_hasReadLastRequest) {
+            self->m_isReading = false;
+            self->watchForDisconnect();
+            return;
+        }
         self->closeIfNoneUnansweredAfter(self->m_handlers.limits().headerTimeout);
         self->readRequest();
     });
@@ -159,11 +173,16 @@
             self->closeAndReportUnanswered();
             return;
         }
+        if (self->discardInput()) {
+            self->m_isWatchingForDisconnect = false;
+            self->watchForDisconnect();
+            return;
+        }
         // Bytes of further requests are unread, so that the socket stays readable.
         self->m_disconnectTimer.expires_after(disconnectCheckInterval);
         self->m_disconnectTimer.async_wait([self](SystemError timerEc) {
             self->m_isWatchingForDisconnect = false;
-            const bool mustWatch = !self->m_pendingAnswers.empty() || self->m_isWaitingForCallerToClose;
+            const bool mustWatch = !self->m_pendingAnswers.empty() || self->m_isEnding;
             if (!timerEc && !self->m_isReading && mustWatch)
                 self->watchForDisconnect();
         });
@@ -178,6 +197,10 @@
         closeAndReportUnanswered();
         return;
     }
+    if (m_hasReadLastRequest) { // late input, which needs no answer
+        watchForDisconnect();
+        return;
+    }
     m_handlers.logUnreadableRequest(ec.message());
     CallerAnswer answer(statusForReadError(ec), 11);
     answer.prepare_payload();
@@ -254,7 +277,7 @@
                 return;
             }
             if (closesConnection) {
-                self->waitForCallerToClose();
+                self->endConnection(LateInput::Discard, CloseCause::LastAnswer);
                 return;
             }
             self->writeNext();
@@ -262,20 +285,63 @@
         });
 }
 
-void CallerSession::waitForCallerToClose()
+void CallerSession::endConnection(LateInput lateInput, CloseCause cause)
 {
-    // To close a connection with unread bytes resets it, and the caller may lose the end of its answer.
-    m_isWaitingForCallerToClose = true;
+    // A connection that is closed with unread bytes, or that gets further bytes after its close, is reset, and its
+    // caller loses what it has not acknowledged.
+    m_isEnding = true;
+    m_hasReadLastRequest = true;
+    m_lateInput = lateInput;
+    m_timer.cancel();
     SystemError ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored); // the caller may have closed already
-    m_closeTimer.expires_after(callerCloseTimeout);
-    m_closeTimer.async_wait([weak = weak_from_this()](SystemError ec) {
-        if (const auto self = weak.lock(); self && !ec) {
-            self->reportCut(CloseCause::LastAnswer);
-            self->closeAndReportUnanswered();
+    m_undeliveredBytes = unacknowledgedBytes(m_socket).value_or(0);
+    m_deliveryProgressAt = currentTime();
+    waitForDelivery(cause);
+    watchForDisconnect();
+}
+
+void CallerSession::waitForDelivery(CloseCause cause)
+{
+    m_closeTimer.expires_after(deliveryCheckInterval);
+    m_closeTimer.async_wait([self = shared_from_this(), cause](SystemError ec) {
+        if (ec || self->m_isClosed)
+            return;
+        const auto now = currentTime();
+        const auto undelivered = unacknowledgedBytes(self->m_socket).value_or(0);
+        if (undelivered != self->m_undeliveredBytes)
+            self->m_deliveryProgressAt = now;
+        self->m_undeliveredBytes = undelivered;
+        const auto closeTimeout = self->m_lateInput == LateInput::Discard ? callerCloseTimeout : Duration::zero();
+        if (now - self->m_deliveryProgressAt < (undelivered == 0 ? closeTimeout : callerAckTimeout)) {
+            self->waitForDelivery(cause);
+            return;
         }
+        self->reportCut(cause);
+        self->closeAndReportUnanswered();
     });
-    watchForDisconnect();
+}
+
+void CallerSession::closeIdle(CloseCause cause)
+{
+    if (m_isEnding || m_isClosed)
+        return;
+    if (hasUndeliveredBytes()) {
+        endConnection(LateInput::LeaveUnread, cause);
+        return;
+    }
+    reportCut(cause);
+    close();
+}
+
+bool CallerSession::discardInput()
+{
+    if (!m_isEnding || m_lateInput != LateInput::Discard || m_discardedBytes >= maxDiscardedBytes)
+        return false;
+    std::array<char, discardBytes> buf;
+    SystemError ec; // a failed connection is noticed by the next wait
+    m_discardedBytes += m_socket.read_some(asio::buffer(buf, std::min(discardBytes, unreadBytes(m_socket))), ec);
+    return true;
 }
 
 bool CallerSession::hasCallerClosed()
@@ -290,10 +356,8 @@
 
 void CallerSession::closeIfNoneUnanswered()
 {
-    if (!owesNothing())
-        return;
-    reportCut(CloseCause::Stop);
-    close();
+    if (hasNoUnansweredRequest())
+        closeIdle(CloseCause::Stop);
 }
 
 void CallerSession::reportCut(CloseCause cause)
@@ -317,7 +381,7 @@
     if (m_isClosed)
         return;
     m_isClosed = true;
-    m_isWaitingForCallerToClose = false;
+    m_isEnding = false;
     m_timer.cancel();
     m_disconnectTimer.cancel();
     m_closeTimer.cancel();
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -77,7 +77,8 @@
     /// that the caller sends later ones again.
     void stopReading();
 
-    /// \brief Closes the connection if \ref owesNothing. A request that is still being read is dropped.
+    /// \brief Ends the connection once its caller has received all answers, unless one is still to be written. A
+    /// request that is still being read is dropped.
     void closeIfNoneUnanswered();
 
     /// \brief Whether the caller has closed the connection. It asks the socket, so that it sees a close before the
@@ -85,8 +86,8 @@
     [[nodiscard]] bool hasCallerClosed();
 
     /// \brief Whether the session may end without the loss of an answer: none is owed, none is being written, and the
-    /// caller has taken the last one.
-    [[nodiscard]] bool owesNothing() const noexcept { return hasNoUnansweredRequest() && !m_isWaitingForCallerToClose; }
+    /// caller has received the last one.
+    [[nodiscard]] bool owesNothing() { return hasNoUnansweredRequest() && !m_isEnding && !hasUndeliveredBytes(); }
 
     /// \brief Logs what is outstanding on the connection, if anything, because the process ends.
     void reportProcessEnd() { reportCut(CloseCause::ProcessEnd); }
@@ -100,7 +101,16 @@
         AnswerMemory::Share memory; ///< of \ref answer
     };
 
+    /// What to do with bytes that arrive on a connection that is ending.
+    enum class LateInput : std::uint8_t {
+        Discard, ///< the last answer said that the connection closes, so callers send these requests again
+        LeaveUnread, ///< the caller could take a request that was read for one that is being worked on
+    };
+
     [[nodiscard]] bool hasNoUnansweredRequest() const noexcept { return m_pendingAnswers.empty() && !m_isWriting; }
+    /// Whether the caller has not acknowledged all that was written. False if the system does not tell: then the
+    /// connection closes after a fixed time.
+    [[nodiscard]] bool hasUndeliveredBytes() { return unacknowledgedBytes(m_socket).value_or(0) > 0; }
     void waitForRequest();
     void readRequest();
     /// Notices that the caller disconnects while no further request is read, and keeps the session alive until all
@@ -110,8 +120,14 @@
     void handleReadError(SystemError ec);
     void writeNext();
     void closeIfNoneUnansweredAfter(Duration duration);
-    /// Ends the sending direction after the last answer and leaves the connection open until the caller closes it.
-    void waitForCallerToClose();
+    /// Ends the sending direction and leaves the connection open until the caller has received everything and, if
+    /// late input is discarded, has had time to close it.
+    void endConnection(LateInput lateInput, CloseCause cause);
+    void waitForDelivery(CloseCause cause);
+    /// Closes a connection without unanswered requests, or ends it if its last answer is still on its way.
+    void closeIdle(CloseCause cause);
+    /// Reads and drops late input. \returns false if it is to be left unread
+    bool discardInput();
     void closeAndReportUnanswered();
     void closeForMemory();
     /// Logs what would be lost if the connection were closed now, if anything.
@@ -133,7 +149,11 @@
     bool m_isWriting = false;
     bool m_isWatchingForDisconnect = false;
     bool m_hasReadLastRequest = false; ///< if true, no further request is read
-    bool m_isWaitingForCallerToClose = false;
+    bool m_isEnding = false; ///< everything is written and the sending direction is closed
+    LateInput m_lateInput = LateInput::LeaveUnread;
+    std::size_t m_discardedBytes = 0; ///< of late input
+    std::size_t m_undeliveredBytes = 0; ///< when last asked, while the connection is ending
+    TimePoint m_deliveryProgressAt {}; ///< when the caller last acknowledged bytes, while the connection is ending
     bool m_isClosed = false;
 };
 
