Answer a request that has arrived when a stop closes its connection

Callers saw: a request on an idle connection is reset when a planned stop closes the connection 3.2 s after SIGTERM, though it had arrived before. They cannot tell whether it ran.

Cause: the stop stopped reading and closed each connection without unanswered requests, whether or not bytes of a request had arrived.

Change: such a connection is read on; the answer to the request closes it. Each tick after the end of listening closes the connections that have become idle.

Evidence: StopAnswersARequestThatHasArrivedOnAnIdleConnection failed before (the request was never read) and passes now.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -352,11 +352,23 @@
     return ::poll(&state, 1, 0) > 0;
 }
 
-void CallerSession::stopReading() { m_hasReadLastRequest = true; }
+bool CallerSession::isReceivingRequest() const
+{
+    if (m_isClosed || m_hasReadLastRequest)
+        return false;
+    const bool hasReadPart = m_isReading && m_parser->got_some();
+    return hasReadPart || m_buffer.size() != 0 || unreadBytes(m_socket) != 0;
+}
+
+void CallerSession::stopReading()
+{
+    if (!hasNoUnansweredRequest() || !isReceivingRequest())
+        m_hasReadLastRequest = true;
+}
 
 void CallerSession::closeIfNoneUnanswered()
 {
-    if (hasNoUnansweredRequest())
+    if (hasNoUnansweredRequest() && !isReceivingRequest())
         closeIdle(CloseCause::Stop);
 }
 
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -73,21 +73,24 @@
     /// \param memory counts the answer until it is written; if it is released, the connection closes
     void answer(RequestId request, CallerAnswer answer, AnswerMemory::Share memory = {});
 
-    /// \brief Reads no further request. The connection closes after the answer to the last request that was read, so
-    /// that the caller sends later ones again.
+    /// \brief Reads no further request, but for one that has arrived while none is unanswered. The connection closes
+    /// after the answer to the last request that was read, so that the caller sends later ones again.
     void stopReading();
 
-    /// \brief Ends the connection once its caller has received all answers, unless one is still to be written. A
-    /// request that is still being read is dropped.
+    /// \brief Ends the connection once its caller has received all answers, unless one is still to be written or a
+    /// request is being read.
     void closeIfNoneUnanswered();
 
     /// \brief Whether the caller has closed the connection. It asks the socket, so that it sees a close before the
     /// event loop reports it, also behind unread bytes of further requests.
     [[nodiscard]] bool hasCallerClosed();
 
-    /// \brief Whether the session may end without the loss of an answer: none is owed, none is being written, and the
-    /// caller has received the last one.
-    [[nodiscard]] bool owesNothing() { return hasNoUnansweredRequest() && !m_isEnding && !hasUndeliveredBytes(); }
+    /// \brief Whether the session may end without the loss of an answer: no request is unanswered or being read, and
+    /// the caller has received the last one.
+    [[nodiscard]] bool owesNothing()
+    {
+        return hasNoUnansweredRequest() && !m_isEnding && !isReceivingRequest() && !hasUndeliveredBytes();
+    }
 
     /// \brief Logs what is outstanding on the connection, if anything, because the process ends.
     void reportProcessEnd() { reportCut(CloseCause::ProcessEnd); }
@@ -111,6 +114,8 @@
     /// Whether the caller has not acknowledged all that was written. False if the system does not tell: then the
     /// connection closes after a fixed time.
     [[nodiscard]] bool hasUndeliveredBytes() { return unacknowledgedBytes(m_socket).value_or(0) > 0; }
+    /// Whether a request, or a part of one, has arrived that is still to be answered.
+    [[nodiscard]] bool isReceivingRequest() const;
     void waitForRequest();
     void readRequest();
     /// Notices that the caller disconnects while no further request is read, and keeps the session alive until all
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -270,6 +270,8 @@
         m_hasStoppedListening = true;
         SystemError ec;
         m_acceptor->close(ec); // the acceptor is discarded, so an error has no effect
+    }
+    if (m_hasStoppedListening) {
         for (const auto& weak : m_sessions) {
             if (const auto session = weak.lock()) {
                 session->stopReading();
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -368,6 +368,28 @@
     EXPECT_EQ(receivedRequests.size(), 1U);
 }
 
+// Guards against a reset of a request that has arrived on an idle connection when a planned stop closes it: its caller
+// cannot tell whether the request ran.
+TEST_F(CallerSessionFailure, StopAnswersARequestThatHasArrivedOnAnIdleConnection)
+{
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    answer(1, "first");
+    context.restart();
+    context.run_for(std::chrono::milliseconds(20));
+    isStopping = true;
+    writeText(caller, get("/2"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20)); // the event loop does not run
+    session->stopReading();
+    session->closeIfNoneUnanswered();
+    EXPECT_FALSE(session->owesNothing());
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 2; }));
+    answer(2, "second");
+    const auto text = readAvailable(100000);
+    EXPECT_NE(text.find("second"), std::string::npos);
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+}
+
 // Guards against a log that does not say what was lost with a connection.
 TEST_F(CallerSessionFailure, ConnectionThatIsClosedWithDataOutstandingIsReported)
 {
