Accept waiting connections before a planned stop closes the listener

Callers saw: a connection that they have opened, and on which they have sent a request, is reset when the VM stops listening.

Cause: the kernel accepts connections ahead of the process, and resets those in the listen queue when the acceptor closes.

Change: the stop accepts what waits before it closes the acceptor; event 610 says if it cannot.

Evidence: ConnectionsInTheListenQueueAreAnswered failed before (4 of 5 connections without an answer) and passes now, with the other tests of sessions, stops and the node (26 passed).

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -66,6 +66,7 @@
     AnswerValueRefused = 607,
     CallerConnectionDropped = 608,
     CallerConnectionCut = 609,
+    CallersNotAccepted = 610,
     // 7xx: steering
     PlanApplied = 700,
     ShiftStepped = 701,
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -105,6 +105,8 @@
         return "caller-connection-dropped";
     case LogEvent::CallerConnectionCut:
         return "caller-connection-cut";
+    case LogEvent::CallersNotAccepted:
+        return "callers-not-accepted";
     case LogEvent::PlanApplied:
         return "plan-applied";
     case LogEvent::ShiftStepped:
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -183,14 +183,36 @@
             });
             return;
         }
-        auto session = std::make_shared<CallerSession>(std::move(socket), m_callerHandlers);
-        std::erase_if(m_sessions, [](const auto& weak) { return weak.expired(); });
-        m_sessions.push_back(session);
-        session->start();
+        startSession(std::move(socket));
         acceptCallers();
     });
 }
 
+void EntryNode::startSession(Tcp::socket socket)
+{
+    auto session = std::make_shared<CallerSession>(std::move(socket), m_callerHandlers);
+    std::erase_if(m_sessions, [](const auto& weak) { return weak.expired(); });
+    m_sessions.push_back(session);
+    session->start();
+}
+
+void EntryNode::stopListening()
+{
+    m_hasStoppedListening = true;
+    SystemError ec;
+    m_acceptor->non_blocking(true, ec);
+    // To close the acceptor resets the connections that wait to be accepted.
+    while (!ec) {
+        Tcp::socket socket(m_context);
+        m_acceptor->accept(socket, ec);
+        if (!ec)
+            startSession(std::move(socket));
+    }
+    if (ec != asio::error::would_block)
+        log(LogEvent::CallersNotAccepted, fmt::format("cause=\"{}\"", ec.message()));
+    m_acceptor->close(ec); // the acceptor is discarded, so an error has no effect
+}
+
 void EntryNode::handleRequest(
     RequestId id, const std::shared_ptr<const CallerRequest>& request, const std::shared_ptr<CallerSession>& session)
 {
@@ -266,11 +288,8 @@
 void EntryNode::continueStop()
 {
     const auto elapsed = currentTime() - *m_state.stopRequestedAt;
-    if (elapsed >= listenTimeAfterStop && !m_hasStoppedListening) {
-        m_hasStoppedListening = true;
-        SystemError ec;
-        m_acceptor->close(ec); // the acceptor is discarded, so an error has no effect
-    }
+    if (elapsed >= listenTimeAfterStop && !m_hasStoppedListening)
+        stopListening();
     if (m_hasStoppedListening) {
         for (const auto& weak : m_sessions) {
             if (const auto session = weak.lock()) {
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -60,6 +60,9 @@
 
     // Handlers of input from callers, targets, other VMs and the store.
     void acceptCallers();
+    void startSession(Tcp::socket socket);
+    /// Accepts the connections that wait in the listen queue and then no others.
+    void stopListening();
     void handleRequest(RequestId id, const std::shared_ptr<const CallerRequest>& request,
         const std::shared_ptr<CallerSession>& session);
     void handleAttemptResult(RequestId request, entry::AttemptId attempt, AttemptResult result);
--- a/tests/node/planned_stop_failure_test.cpp
+++ b/tests/node/planned_stop_failure_test.cpp
@@ -145,4 +145,31 @@
     EXPECT_TRUE(context.stopped());
 }
 
+// Guards against a stop that resets the connections that the kernel has accepted and the process has not.
+TEST_F(PlannedStopFailure, ConnectionsInTheListenQueueAreAnswered)
+{
+    node->requestStop();
+    context.restart();
+    context.run_for(milliseconds(2800));
+    std::vector<Tcp::socket> callers;
+    for (int i = 0; i < 5; ++i) {
+        callers.emplace_back(context);
+        callers.back().connect(parseEndpoint(settings.callerAddress).value());
+        callers.back().non_blocking(true);
+        writeText(callers.back(), "GET /a HTTP/1.1\r\nHost: shop.example\r\nId: r2\r\n\r\n");
+    }
+    std::this_thread::sleep_for(milliseconds(700)); // the event loop does not run until callers are accepted no more
+    for (auto& it : callers) {
+        std::string text;
+        (void)runUntil(context, [&] {
+            std::array<char, 4096> buf {};
+            SystemError ec;
+            const auto n = it.read_some(asio::buffer(buf), ec);
+            text.append(buf.data(), n);
+            return n != 0 || ec != asio::error::would_block;
+        });
+        EXPECT_NE(text.find("HTTP/1.1 503"), std::string::npos) << text;
+    }
+}
+
 } // namespace arbutuscrank::node::test
