Keep the answer before an unreadable request

Callers saw: a request that was passed on gets no answer, and its connection ends, if a malformed request or one over a limit is pipelined behind it.

Change: the session watches for a disconnect, as in the other states in which it reads no further request.

Evidence: UnreadableRequestDoesNotCutTheAnswerBeforeIt failed before (the session was gone) and passes now. A test that only reported the end of the process has a name that says so; its assertions are unchanged.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -207,6 +207,7 @@
     m_hasReadLastRequest = true;
     m_pendingAnswers.push_back({ .keepAlive = false, .answer = std::move(answer) });
     writeNext();
+    watchForDisconnect();
 }
 
 void CallerSession::closeAndReportUnanswered()
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -390,8 +390,26 @@
     EXPECT_NE(text.find("Connection: close"), std::string::npos);
 }
 
+// Guards against the loss of an answer, because nothing owns its connection while an unreadable request waits behind
+// it.
+TEST_F(CallerSessionFailure, UnreadableRequestDoesNotCutTheAnswerBeforeIt)
+{
+    writeText(caller, get("/1") + "unreadable\r\n\r\n");
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    const std::weak_ptr<CallerSession> weak = session;
+    session.reset();
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+    session = weak.lock();
+    ASSERT_TRUE(session);
+    answer(1, "first");
+    const auto text = readAvailable(100000);
+    EXPECT_NE(text.find("first"), std::string::npos);
+    EXPECT_NE(text.find("HTTP/1.1 400"), std::string::npos);
+}
+
 // Guards against a log that does not say what was lost with a connection.
-TEST_F(CallerSessionFailure, ConnectionThatIsClosedWithDataOutstandingIsReported)
+TEST_F(CallerSessionFailure, OutstandingDataAreReportedWhenTheProcessEnds)
 {
     writeText(caller, get("/1"));
     ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
