End a connection whose last answer was written during a stop

Callers saw: an answer that is written when the stop ends the reading of requests is cut by a reset.

Cause: such an answer does not announce the close. After it the session neither read nor ended the connection, so that it was destroyed, and the socket closed with the caller's further requests unread.

Change: a session that reads no further request ends its connection after its last answer in each case. Besides, while a connection ends: a caller that has closed only its sending direction still gets what was written; a caller has 1 s to read what it has acknowledged; urgent data cause no busy loop. A request whose first bytes came with the one before it has the time limit of a header.

Evidence: RequestBehindAnAnswerThatIsBeingWrittenDoesNotCutIt failed before (15,475,601 of 16,777,216 bytes, connection reset) and passes now, with the other tests of sessions, stops and the node (28 passed). The points after Besides were found by reading and have no test of their own.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -101,6 +101,7 @@
     m_parser->body_limit(limits.maxBodyBytes);
     m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), limits.maxHeaderBytes + maxUnparsedBytes));
     if (m_buffer.size() != 0) {
+        closeIfNoneUnansweredAfter(limits.headerTimeout);
         readRequest();
         return;
     }
@@ -169,7 +170,7 @@
     m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](SystemError ec) {
         if (ec || self->m_isClosed)
             return;
-        if (self->hasCallerClosed()) {
+        if (self->hasCallerClosed() && !self->mayCallerStillReceive()) {
             self->closeAndReportUnanswered();
             return;
         }
@@ -182,7 +183,7 @@
         self->m_disconnectTimer.expires_after(disconnectCheckInterval);
         self->m_disconnectTimer.async_wait([self](SystemError timerEc) {
             self->m_isWatchingForDisconnect = false;
-            const bool mustWatch = !self->m_pendingAnswers.empty() || self->m_isEnding;
+            const bool mustWatch = !self->hasNoUnansweredRequest() || self->m_isEnding;
             if (!timerEc && !self->m_isReading && mustWatch)
                 self->watchForDisconnect();
         });
@@ -282,6 +283,8 @@
                 return;
             }
             self->writeNext();
+            if (self->m_hasReadLastRequest && self->hasNoUnansweredRequest())
+                self->endConnection(LateInput::LeaveUnread, CloseCause::Stop);
             self->waitForRequest();
         });
 }
@@ -313,8 +316,7 @@
         if (undelivered != self->m_undeliveredBytes)
             self->m_deliveryProgressAt = now;
         self->m_undeliveredBytes = undelivered;
-        const auto closeTimeout = self->m_lateInput == LateInput::Discard ? callerCloseTimeout : Duration::zero();
-        if (now - self->m_deliveryProgressAt < (undelivered == 0 ? closeTimeout : callerAckTimeout)) {
+        if (now - self->m_deliveryProgressAt < (undelivered == 0 ? callerCloseTimeout : callerAckTimeout)) {
             self->waitForDelivery(cause);
             return;
         }
@@ -341,8 +343,16 @@
         return false;
     std::array<char, discardBytes> buf;
     SystemError ec; // a failed connection is noticed by the next wait
-    m_discardedBytes += m_socket.read_some(asio::buffer(buf, std::min(discardBytes, unreadBytes(m_socket))), ec);
-    return true;
+    const auto n = m_socket.read_some(asio::buffer(buf, std::min(discardBytes, unreadBytes(m_socket))), ec);
+    m_discardedBytes += n;
+    return n != 0;
+}
+
+bool CallerSession::mayCallerStillReceive()
+{
+    pollfd state { .fd = m_socket.native_handle(), .events = 0, .revents = 0 };
+    const bool hasFailed = ::poll(&state, 1, 0) != 0 && (state.revents & POLLERR) != 0;
+    return m_isEnding && !hasFailed && hasUndeliveredBytes();
 }
 
 bool CallerSession::hasCallerClosed()
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -77,7 +77,7 @@
     /// after the answer to the last request that was read, so that the caller sends later ones again.
     void stopReading();
 
-    /// \brief Ends the connection once its caller has received all answers, unless one is still to be written or a
+    /// \brief Ends the connection once its caller has acknowledged all answers, unless one is still to be written or a
     /// request is being read.
     void closeIfNoneUnanswered();
 
@@ -86,7 +86,7 @@
     [[nodiscard]] bool hasCallerClosed();
 
     /// \brief Whether the session may end without the loss of an answer: no request is unanswered or being read, and
-    /// the caller has received the last one.
+    /// the caller has acknowledged the last one.
     [[nodiscard]] bool owesNothing()
     {
         return hasNoUnansweredRequest() && !m_isEnding && !isReceivingRequest() && !hasUndeliveredBytes();
@@ -125,14 +125,16 @@
     void handleReadError(SystemError ec);
     void writeNext();
     void closeIfNoneUnansweredAfter(Duration duration);
-    /// Ends the sending direction and leaves the connection open until the caller has received everything and, if
-    /// late input is discarded, has had time to close it.
+    /// Ends the sending direction and leaves the connection open until the caller has acknowledged everything and has
+    /// had time to read it and to close the connection.
     void endConnection(LateInput lateInput, CloseCause cause);
     void waitForDelivery(CloseCause cause);
     /// Closes a connection without unanswered requests, or ends it if its last answer is still on its way.
     void closeIdle(CloseCause cause);
     /// Reads and drops late input. \returns false if it is to be left unread
     bool discardInput();
+    /// Whether a caller that sends no more, on a connection that is ending, may still take what was written.
+    [[nodiscard]] bool mayCallerStillReceive();
     void closeAndReportUnanswered();
     void closeForMemory();
     /// Logs what would be lost if the connection were closed now, if anything.
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -408,6 +408,26 @@
     EXPECT_NE(text.find("HTTP/1.1 400"), std::string::npos);
 }
 
+// Guards against an answer that is cut because a stop begins while it is written and its caller sends a further
+// request.
+TEST_F(CallerSessionFailure, RequestBehindAnAnswerThatIsBeingWrittenDoesNotCutIt)
+{
+    constexpr std::size_t answerBytes = 16U << 20U;
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    answer(1, std::string(answerBytes, 'x'));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(50));
+    isStopping = true;
+    session->stopReading();
+    session.reset();
+    writeText(caller, get("/2"));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(500));
+    EXPECT_GT(readToEnd(), answerBytes);
+    EXPECT_EQ(receivedRequests.size(), 1U);
+}
+
 // Guards against a log that does not say what was lost with a connection.
 TEST_F(CallerSessionFailure, OutstandingDataAreReportedWhenTheProcessEnds)
 {
