Take no request in a stop from a caller that leaves answers undelivered

Callers saw: the process ends with its grace while up to 1 MB of answers wait for a slow caller, and the connection is reset; its requests had been taken up to 3.2 s after SIGTERM.

Cause: a stop took further requests of a pipelining caller by the time that the targets need, not by whether the caller takes its earlier answers.

Change: while a planned stop runs, a session with unanswered requests reads no further one if an answer is being written or more than 64 KB are not acknowledged. The last answer then closes the connection, and the caller sends the rest elsewhere.

Evidence: StopTakesNoRequestBehindAnAnswerThatItsCallerDoesNotTake failed before (three requests taken, no closing answer) and passes now.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -19,6 +19,8 @@
     constexpr Duration callerCloseTimeout = std::chrono::seconds(1);
     /// Interval at which it is checked what a caller has acknowledged. The system does not report it.
     constexpr Duration deliveryCheckInterval = std::chrono::milliseconds(100);
+    /// Bytes of answers that a caller may leave unacknowledged while a planned stop takes further requests from it.
+    constexpr std::size_t maxUndeliveredBytesInStop = 64U << 10U;
     /// Bytes of late input that are discarded at a time.
     constexpr std::size_t discardBytes = 16U << 10U;
     /// Late input of one connection that is discarded. The rest stays unread, so that a caller that sends without end
@@ -88,8 +90,14 @@
 
 void CallerSession::waitForRequest()
 {
-    if (m_isReading || m_hasReadLastRequest || m_isClosed)
+    if (m_isReading || m_isClosed)
         return;
+    stopReadingIfCallerIsSlow();
+    if (m_hasReadLastRequest) {
+        if (!hasNoUnansweredRequest())
+            watchForDisconnect();
+        return;
+    }
     if (m_pendingAnswers.size() >= maxPipelinedRequests) {
         watchForDisconnect();
         return;
@@ -109,6 +117,7 @@
     m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](SystemError ec) {
         if (ec || self->m_isClosed)
             return;
+        self->stopReadingIfCallerIsSlow();
         if (self->m_hasReadLastRequest) {
             self->m_isReading = false;
             self->watchForDisconnect();
@@ -377,6 +386,15 @@
         m_hasReadLastRequest = true;
 }
 
+void CallerSession::stopReadingIfCallerIsSlow()
+{
+    if (!m_handlers.isStopping() || hasNoUnansweredRequest())
+        return;
+    // Further answers might not reach the caller before the process ends.
+    if (m_isWriting || unacknowledgedBytes(m_socket).value_or(0) > maxUndeliveredBytesInStop)
+        m_hasReadLastRequest = true;
+}
+
 void CallerSession::closeIfNoneUnanswered()
 {
     if (hasNoUnansweredRequest() && !isReceivingRequest())
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -117,6 +117,8 @@
     /// Whether a request, or a part of one, has arrived that is still to be answered.
     [[nodiscard]] bool isReceivingRequest() const;
     void waitForRequest();
+    /// In a planned stop, takes no request behind an answer that its caller does not take as fast as it is written.
+    void stopReadingIfCallerIsSlow();
     void readRequest();
     /// Notices that the caller disconnects while no further request is read, and keeps the session alive until all
     /// requests are answered.
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -428,6 +428,35 @@
     EXPECT_EQ(receivedRequests.size(), 1U);
 }
 
+// Guards against requests that a planned stop takes from a caller whose earlier answers may not all arrive in time.
+TEST_F(CallerSessionFailure, StopTakesNoRequestBehindAnAnswerThatItsCallerDoesNotTake)
+{
+    constexpr std::size_t answerBytes = 16U << 20U; // exceeds the buffers of the connection
+    writeText(caller, get("/1") + get("/2"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 2; }));
+    isStopping = true;
+    answer(1, std::string(answerBytes, 'x'));
+    writeText(caller, get("/3"));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(receivedRequests.size(), 2U);
+    const std::weak_ptr<CallerSession> weak = session;
+    session.reset();
+    std::string text;
+    while (text.size() <= answerBytes) {
+        const auto part = readAvailable(1);
+        ASSERT_FALSE(part.empty());
+        text += part;
+    }
+    context.restart();
+    context.run_for(std::chrono::milliseconds(300));
+    session = weak.lock();
+    ASSERT_TRUE(session);
+    answer(2, "second");
+    EXPECT_NE(readAvailable(100000).find("Connection: close"), std::string::npos);
+    EXPECT_EQ(receivedRequests.size(), 2U);
+}
+
 // Guards against a log that does not say what was lost with a connection.
 TEST_F(CallerSessionFailure, OutstandingDataAreReportedWhenTheProcessEnds)
 {
