--- a/review/harness.hpp
+++ b/review/harness.hpp
@@ -635,16 +635,16 @@
             }
             if (onRun)
                 onRun(attempt, request.header("Tenant"));
-            const auto work = this->work(request);
-            const bool isClosed = closesWithin(fd, work.seconds);
+            const auto job = work(request);
+            const bool isClosed = closesWithin(fd, job.seconds);
             freeSlot();
             if (isClosed) {
                 if (onDropped)
                     onDropped(attempt);
                 return;
             }
-            const auto headers = echo + "Response-Signature: s." + attempt + "\r\n" + load() + work.headers;
-            if (!sendAll(fd, answerText(200, headers, std::string(work.bytes, 'x'))))
+            const auto headers = echo + "Response-Signature: s." + attempt + "\r\n" + load() + job.headers;
+            if (!sendAll(fd, answerText(200, headers, std::string(job.bytes, 'x'))))
                 return;
         }
     }
