--- a/review/harness.hpp
+++ b/review/harness.hpp
@@ -643,7 +643,7 @@
                     onDropped(attempt);
                 return;
             }
-            const auto headers = echo + "Response-Signature: s." + attempt + "\r\n" + load() + job.headers;
+            const auto headers = concat(echo, "Response-Signature: s.", attempt, "\r\n", load(), job.headers);
             if (!sendAll(fd, answerText(200, headers, std::string(job.bytes, 'x'))))
                 return;
         }
--- a/tests/soak/planned_stop_soak.cpp
+++ b/tests/soak/planned_stop_soak.cpp
@@ -328,6 +328,7 @@
     Counts counts;
     std::atomic<int> overdue = 0;
     std::vector<std::thread> threads;
+    threads.reserve(callerCount + vmCount);
     for (int i = 0; i < callerCount; ++i)
         threads.emplace_back([&, i] {
             const double speed = hasSlowCallers && i % 4 == 0 ? slowBytesPerSecond : 0;
