Ask for undelivered bytes and socket events in one place

The session asked the system for what the caller has not acknowledged, with its substitute for a missing answer, in five places, and polled its socket in two. Each is one function now, which says what a missing answer means. The comment of the watch names that it drops late input. Behaviour is unchanged.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -39,6 +39,13 @@
         answer.erase("Proxy-Connection");
     }
 
+    /// Those of \p events that a socket reports at this moment, and errors.
+    short currentEvents(Tcp::socket& socket, short events)
+    {
+        pollfd state { .fd = socket.native_handle(), .events = events, .revents = 0 };
+        return ::poll(&state, 1, 0) > 0 ? state.revents : short { 0 };
+    }
+
     http::status statusForReadError(SystemError ec)
     {
         if (ec == http::error::header_limit)
@@ -308,7 +315,7 @@
     m_timer.cancel();
     SystemError ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored); // the caller may have closed already
-    m_undeliveredBytes = unacknowledgedBytes(m_socket).value_or(0);
+    m_undeliveredBytes = undeliveredBytes();
     m_deliveryProgressAt = currentTime();
     waitForDelivery(cause);
     watchForDisconnect();
@@ -321,7 +328,7 @@
         if (ec || self->m_isClosed)
             return;
         const auto now = currentTime();
-        const auto undelivered = unacknowledgedBytes(self->m_socket).value_or(0);
+        const auto undelivered = self->undeliveredBytes();
         if (undelivered != self->m_undeliveredBytes)
             self->m_deliveryProgressAt = now;
         self->m_undeliveredBytes = undelivered;
@@ -338,7 +345,7 @@
 {
     if (m_isEnding || m_isClosed)
         return;
-    if (hasUndeliveredBytes()) {
+    if (undeliveredBytes() != 0) {
         endConnection(LateInput::LeaveUnread, cause);
         return;
     }
@@ -359,17 +366,15 @@
 
 bool CallerSession::mayCallerStillReceive()
 {
-    pollfd state { .fd = m_socket.native_handle(), .events = 0, .revents = 0 };
-    const bool hasFailed = ::poll(&state, 1, 0) != 0 && (state.revents & POLLERR) != 0;
-    return m_isEnding && !hasFailed && hasUndeliveredBytes();
+    const bool hasFailed = (currentEvents(m_socket, 0) & POLLERR) != 0;
+    return m_isEnding && !hasFailed && undeliveredBytes() != 0;
 }
 
 bool CallerSession::hasCallerClosed()
 {
     if (m_isClosed || !m_socket.is_open())
         return true;
-    pollfd state { .fd = m_socket.native_handle(), .events = POLLRDHUP, .revents = 0 };
-    return ::poll(&state, 1, 0) > 0;
+    return currentEvents(m_socket, POLLRDHUP) != 0;
 }
 
 bool CallerSession::isReceivingRequest() const
@@ -391,7 +396,7 @@
     if (!m_handlers.isStopping() || hasNoUnansweredRequest())
         return;
     // Further answers might not reach the caller before the process ends.
-    if (m_isWriting || unacknowledgedBytes(m_socket).value_or(0) > maxUndeliveredBytesInStop)
+    if (m_isWriting || undeliveredBytes() > maxUndeliveredBytesInStop)
         m_hasReadLastRequest = true;
 }
 
@@ -408,7 +413,7 @@
     ConnectionCut cut { .cause = cause,
         .unansweredRequests = m_pendingAnswers.size() + (m_isWriting ? 1 : 0),
         .unreadBytes = unreadBytes(m_socket),
-        .unacknowledgedBytes = unacknowledgedBytes(m_socket).value_or(0) };
+        .unacknowledgedBytes = undeliveredBytes() };
     if (cut.unansweredRequests + cut.unreadBytes + cut.unacknowledgedBytes == 0)
         return;
     SystemError ec;
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -89,7 +89,7 @@
     /// the caller has acknowledged the last one.
     [[nodiscard]] bool owesNothing()
     {
-        return hasNoUnansweredRequest() && !m_isEnding && !isReceivingRequest() && !hasUndeliveredBytes();
+        return hasNoUnansweredRequest() && !m_isEnding && !isReceivingRequest() && undeliveredBytes() == 0;
     }
 
     /// \brief Logs what is outstanding on the connection, if anything, because the process ends.
@@ -111,9 +111,9 @@
     };
 
     [[nodiscard]] bool hasNoUnansweredRequest() const noexcept { return m_pendingAnswers.empty() && !m_isWriting; }
-    /// Whether the caller has not acknowledged all that was written. False if the system does not tell: then the
-    /// connection closes after a fixed time.
-    [[nodiscard]] bool hasUndeliveredBytes() { return unacknowledgedBytes(m_socket).value_or(0) > 0; }
+    /// Bytes that were written and the caller has not acknowledged. 0 if the system does not tell: then the connection
+    /// closes after a fixed time.
+    [[nodiscard]] std::size_t undeliveredBytes() { return unacknowledgedBytes(m_socket).value_or(0); }
     /// Whether a request, or a part of one, has arrived that is still to be answered.
     [[nodiscard]] bool isReceivingRequest() const;
     void waitForRequest();
@@ -121,7 +121,7 @@
     void stopReadingIfCallerIsSlow();
     void readRequest();
     /// Notices that the caller disconnects while no further request is read, and keeps the session alive until all
-    /// requests are answered.
+    /// requests are answered and the connection has ended. Drops late input that is to be discarded.
     void watchForDisconnect();
     void acceptRequest(http::request_parser<http::string_body>& parser);
     void handleReadError(SystemError ec);
@@ -135,7 +135,8 @@
     void closeIdle(CloseCause cause);
     /// Reads and drops late input. \returns false if it is to be left unread
     bool discardInput();
-    /// Whether a caller that sends no more, on a connection that is ending, may still take what was written.
+    /// Whether a caller that has closed its sending direction, on a connection that is ending, may still receive what
+    /// was written.
     [[nodiscard]] bool mayCallerStillReceive();
     void closeAndReportUnanswered();
     void closeForMemory();
