Report what the demand for a service consists of

Reports and digests say how much of a service's demand is restricted to some regions, and how much work each priority asks for. Nothing decides by it yet; the split among regions and the sharing of room by priority will.

MessageCodec round trips both; protocol version 5.

--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -28,6 +28,20 @@
 
 using AccountUsages = std::map<std::string, AccountUsage, std::less<>>; ///< by account name
 using ServiceDemands = std::map<std::string, double, std::less<>>; ///< admitted requests per second by service name
+
+/// \brief What the admitted requests for one service consist of.
+struct ServiceMix {
+    /// Requests per second that their route or account restricts to some regions, by region. A request that several
+    /// regions may serve counts for each with an equal part.
+    std::map<std::string, double, std::less<>> restrictedPerSecond;
+    /// Work that callers ask for, refused requests included, by priority: requests per second times the seconds that
+    /// a target usually works on one, which is the number of slots that they keep busy
+    std::map<std::uint32_t, double> slotsByPriority;
+
+    friend bool operator==(const ServiceMix&, const ServiceMix&) = default;
+};
+
+using ServiceMixes = std::map<std::string, ServiceMix, std::less<>>; ///< by service name
 using InFlightCounts = std::map<std::uint32_t, std::uint32_t>; ///< in-flight attempts by Target::reportKey()
 
 /// \brief Time until cold targets are warm, by Target::reportKey(). VMs report only what they learned from the store,
@@ -71,6 +85,7 @@
     std::optional<Duration> storeContactAge;
     bool servesFeed = false; ///< other VMs may read this VM's feed
     ServiceDemands demand;
+    ServiceMixes mixes;
     InFlightCounts inFlight;
     ColdTimes coldTargets;
     NamedRates namedRates;
@@ -98,6 +113,7 @@
     std::map<std::string, ReportId> acknowledgedReports;
     AccountUsages accounts; ///< admitted by this coordinator
     ServiceDemands demand; ///< sum over the domain
+    ServiceMixes mixes; ///< sum over the domain
     InFlightCounts inFlight; ///< sum over the domain
     ColdTimes coldTargets; ///< maximum over the domain
     NamedRates namedRates; ///< newest ones of the domain
@@ -116,6 +132,7 @@
     double heardFraction = 0; ///< fraction of the registered VMs that the coordinator has heard of lately, 0 to 1
     std::vector<VmStatus> vms; ///< all VMs of the fleet whose reports are recent
     std::map<std::string, ServiceDemands> demandByRegion;
+    std::map<std::string, ServiceMixes> mixesByRegion;
     InFlightCounts inFlight; ///< sum over the fleet
     ColdTimes coldTargets; ///< maximum over the fleet
     NamedRates namedRates; ///< newest ones of the fleet
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -64,11 +64,15 @@
 struct AdmittedRate {
     double perSecond = 0; ///< smoothed rate
     std::uint32_t admittedSinceUpdate = 0; ///< requests admitted since the last update of \ref perSecond
+    ServiceMix mix; ///< smoothed
+    std::map<std::string, double, std::less<>> restrictedSinceUpdate; ///< requests by region, as in \ref ServiceMix
+    std::map<std::uint32_t, double> workSinceUpdate; ///< seconds of work by priority
 };
 
 /// \brief Load of the whole fleet as reported by the coordinator.
 struct FleetLoad {
     std::map<std::string, ServiceDemands> demandByRegion;
+    std::map<std::string, ServiceMixes> mixesByRegion;
     InFlightCounts inFlight; ///< sum over the fleet, including this VM
     Duration storeUptime {}; ///< maximum over all VMs
     std::optional<TimePoint> storeContactAt; ///< newest answer of the store to any VM
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -81,6 +81,18 @@
         return std::string_view(request.affinity).substr(std::min(request.affinity.size(), request.route.size() + 1));
     }
 
+    /// Regions to which the route and the account restrict a request; empty if all may serve it.
+    std::vector<std::string> permittedRegions(const Request& request)
+    {
+        if (request.routeRegions.empty() || request.accountRegions.empty())
+            return request.routeRegions.empty() ? request.accountRegions : request.routeRegions;
+        std::vector<std::string> out;
+        std::ranges::copy_if(request.routeRegions, std::back_inserter(out), [&](const auto& region) {
+            return std::ranges::find(request.accountRegions, region) != request.accountRegions.end();
+        });
+        return out;
+    }
+
     TargetChoice chooseTarget(EntryState& state, const Request& request, TimePoint now)
     {
         const Placement placement {
@@ -95,6 +107,17 @@
         return state.selection.choose(state.targets, placement, now);
     }
 
+    /// Counts a request in the demand for its service.
+    void countDemand(EntryState& state, const Request& request)
+    {
+        auto& demand = state.serviceDemand[request.service];
+        ++demand.admittedSinceUpdate;
+        demand.workSinceUpdate[request.priority] += seconds(typicalDuration(state, request));
+        const auto regions = permittedRegions(request);
+        for (const auto& region : regions)
+            demand.restrictedSinceUpdate[region] += 1.0 / static_cast<double>(regions.size());
+    }
+
     void send(
         EntryState& state, RequestId id, Request& request, const TargetChoice& choice, TimePoint now, Effects& out)
     {
@@ -278,7 +301,7 @@
 
     void start(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
     {
-        ++state.serviceDemand[request.service].admittedSinceUpdate;
+        countDemand(state, request);
         state.retryLimit.countRequest(request.service, now);
         const auto choice = chooseTarget(state, request, now);
         if (choice.target)
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -33,6 +33,10 @@
     constexpr double notReadyAgeFraction = 0.6;
     /// Time constant of the demand average on which splits between regions are based.
     constexpr double demandSmoothingSeconds = 6;
+    /// Time constant of the average of the work by priority, which has to follow a burst.
+    constexpr double workSmoothingSeconds = 0.8;
+    /// Averages of amounts per second below this are not reported.
+    constexpr double minReportedAverage = 0.001;
     /// Time after which an unresponsive VM counts as removed. Restarts and network partitions usually end sooner. A VM
     /// that was only partitioned registers again when it finds its registration removed.
     constexpr Duration removalTimeout = std::chrono::seconds(12);
@@ -54,12 +58,28 @@
     /// Maximum age of the fleet load that the coordinator reported.
     constexpr Duration fleetLoadMaxAge = milliseconds(1300);
 
+    /// Moves averages of amounts per second towards what was counted in \p elapsedSeconds.
+    template <typename Map> void updateAverages(Map& averages, Map& counted, double elapsedSeconds, double weight)
+    {
+        for (const auto& [key, amount] : counted)
+            averages.try_emplace(key, 0.0);
+        for (auto& [key, average] : averages) {
+            const auto it = counted.find(key);
+            average += weight * ((it == counted.end() ? 0 : it->second / elapsedSeconds) - average);
+        }
+        std::erase_if(averages, [](const auto& item) { return item.second < minReportedAverage; });
+        counted.clear();
+    }
+
     void updateDemand(EntryState& state, double elapsedSeconds)
     {
         const double weight = 1 - std::exp(-elapsedSeconds / demandSmoothingSeconds);
+        const double workWeight = 1 - std::exp(-elapsedSeconds / workSmoothingSeconds);
         for (auto& [service, demand] : state.serviceDemand) {
             demand.perSecond += weight * (demand.admittedSinceUpdate / elapsedSeconds - demand.perSecond);
             demand.admittedSinceUpdate = 0;
+            updateAverages(demand.mix.restrictedPerSecond, demand.restrictedSinceUpdate, elapsedSeconds, weight);
+            updateAverages(demand.mix.slotsByPriority, demand.workSinceUpdate, elapsedSeconds, workWeight);
         }
     }
 
@@ -69,6 +89,22 @@
             sums[key] += value;
     }
 
+    void addMixes(ServiceMixes& sums, const ServiceMixes& terms)
+    {
+        for (const auto& [service, mix] : terms) {
+            addValues(sums[service].restrictedPerSecond, mix.restrictedPerSecond);
+            addValues(sums[service].slotsByPriority, mix.slotsByPriority);
+        }
+    }
+
+    ServiceMixes ownMixes(const EntryState& state)
+    {
+        ServiceMixes out;
+        for (const auto& [service, demand] : state.serviceDemand)
+            out[service] = demand.mix;
+        return out;
+    }
+
     InFlightCounts ownInFlight(const EntryState& state)
     {
         InFlightCounts out;
@@ -286,6 +322,7 @@
             .servesFeed = servesFeed(state, now),
             .vms = { ownStatus(state, now) },
             .demand = ownDemand(state),
+            .mixes = ownMixes(state),
             .inFlight = ownInFlight(state),
             .coldTargets = ownColdTimes(state, now),
             .namedRates = ownNamedRates(state, now),
@@ -299,6 +336,7 @@
             out.vms.push_back({ member.record.process.vm, member.ready, member.leaving });
             out.storeUptime = std::max(out.storeUptime, member.report->storeUptime);
             addValues(out.demand, member.report->demand);
+            addMixes(out.mixes, member.report->mixes);
             addValues(out.inFlight, member.report->inFlight);
             addColdTimes(out.coldTargets, member.report->coldTargets, member.lastSeenAt.value_or(now), now);
             addNamedRates(out.namedRates, member.report->namedRates, member.lastSeenAt.value_or(now), now);
@@ -318,6 +356,7 @@
             .heardFraction = heardFraction(state, now),
             .vms = own.vms,
             .demandByRegion = { { own.region, own.demand } },
+            .mixesByRegion = { { own.region, own.mixes } },
             .inFlight = own.inFlight,
             .coldTargets = own.coldTargets,
             .namedRates = own.namedRates,
@@ -329,6 +368,7 @@
             out.storeUptime = std::max(out.storeUptime, domain.report.storeUptime);
             out.vms.insert(out.vms.end(), domain.report.vms.begin(), domain.report.vms.end());
             addValues(out.demandByRegion[domain.report.region], domain.report.demand);
+            addMixes(out.mixesByRegion[domain.report.region], domain.report.mixes);
             addValues(out.inFlight, domain.report.inFlight);
             addColdTimes(out.coldTargets, domain.report.coldTargets, domain.receivedAt, now);
             addNamedRates(out.namedRates, domain.report.namedRates, domain.receivedAt, now);
@@ -416,6 +456,7 @@
             .storeContactAge = ageOf(state.storeContactAt, now),
             .servesFeed = servesFeed(state, now),
             .demand = ownDemand(state),
+            .mixes = ownMixes(state),
             .inFlight = state.reportedInFlight,
             .coldTargets = ownColdTimes(state, now),
             .namedRates = ownNamedRates(state, now),
@@ -457,6 +498,22 @@
         return byRegion;
     }
 
+    /// Mixes of requests by region of their callers.
+    std::map<std::string, ServiceMixes> mixesByRegion(const EntryState& state, TimePoint now)
+    {
+        if (!state.coordination.isCoordinator())
+            return state.fleetLoad.mixesByRegion;
+        std::map<std::string, ServiceMixes> out;
+        auto& own = out[state.settings.region];
+        addMixes(own, ownMixes(state));
+        forEachRelayedVm(state, now, [&](const Member& member) { addMixes(own, member.report->mixes); });
+        for (const auto& [name, domain] : state.domainReports.all()) {
+            if (DomainReportTable::isFresh(domain, now))
+                addMixes(out[domain.report.region], domain.report.mixes);
+        }
+        return out;
+    }
+
     /// Requests per second by service and region.
     std::map<std::string, std::map<std::string, double>> demandByService(const EntryState& state, TimePoint now)
     {
@@ -649,6 +706,7 @@
     (void)applyColdTimes(state, digest.coldTargets, now, out);
     (void)applyNamedRates(state, digest.namedRates, now, out);
     state.fleetLoad = { .demandByRegion = digest.demandByRegion,
+        .mixesByRegion = digest.mixesByRegion,
         .inFlight = digest.inFlight,
         .storeUptime = digest.storeUptime,
         .heardFraction = digest.heardFraction,
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -12,7 +12,7 @@
     using std::chrono::milliseconds;
 
     /// Raised with each change of a message that processes of an earlier version cannot decode.
-    constexpr int protocolVersion = 4;
+    constexpr int protocolVersion = 5;
 
     /// First element of a message. Numbers are never reused.
     enum class MessageKind : std::uint8_t {
@@ -64,6 +64,37 @@
 
     entry::ServiceDemands decodeDemand(const Json& json) { return json.get<entry::ServiceDemands>(); }
 
+    Json encodeMixes(const entry::ServiceMixes& mixes)
+    {
+        auto out = Json::object();
+        for (const auto& [service, mix] : mixes) {
+            auto restricted = Json::object();
+            for (const auto& [region, perSecond] : mix.restrictedPerSecond)
+                restricted[region] = static_cast<float>(perSecond);
+            auto slots = Json::array();
+            for (const auto& [priority, busy] : mix.slotsByPriority) {
+                slots.push_back(priority);
+                slots.push_back(static_cast<float>(busy));
+            }
+            out[service] = { std::move(restricted), std::move(slots) };
+        }
+        return out;
+    }
+
+    entry::ServiceMixes decodeMixes(const Json& json)
+    {
+        entry::ServiceMixes out;
+        for (const auto& [service, parts] : json.items()) {
+            auto& mix = out[service];
+            for (const auto& [region, perSecond] : parts.at(0).items())
+                mix.restrictedPerSecond[region] = perSecond.get<double>();
+            const auto& slots = parts.at(1);
+            for (std::size_t i = 0; i + 1 < slots.size(); i += 2)
+                mix.slotsByPriority[slots.at(i).get<std::uint32_t>()] = slots.at(i + 1).get<double>();
+        }
+        return out;
+    }
+
     Json encodeInFlight(const entry::InFlightCounts& inFlight)
     {
         auto out = Json::array();
@@ -187,7 +218,7 @@
         return { MessageKind::VmReport, encodeProcess(it.process), it.sequence, it.ready, it.leaving,
             encodeDuration(it.storeUptime), encodeDemand(it.demand), encodeInFlight(it.inFlight),
             encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates),
-            encodeAge(it.storeContactAge), it.servesFeed };
+            encodeAge(it.storeContactAge), it.servesFeed, encodeMixes(it.mixes) };
     }
 
     Json encode(const entry::DomainReport& it)
@@ -196,7 +227,7 @@
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), encodeAccounts(it.accounts),
             encodeDemand(it.demand), encodeInFlight(it.inFlight), encodeReceivedReports(it.acknowledgedReports),
             encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations), encodeNamedRates(it.namedRates),
-            encodeAge(it.storeContactAge), it.servesFeed };
+            encodeAge(it.storeContactAge), it.servesFeed, encodeMixes(it.mixes) };
     }
 
     Json encode(const entry::Digest& it)
@@ -204,13 +235,17 @@
         auto demand = Json::object();
         for (const auto& [region, services] : it.demandByRegion)
             demand[region] = encodeDemand(services);
+        auto mixes = Json::object();
+        for (const auto& [region, services] : it.mixesByRegion)
+            mixes[region] = encodeMixes(services);
         auto domains = Json::array();
         for (const auto& domain : it.domains)
             domains.push_back(encode(domain));
         return { MessageKind::Digest, encodeProcess(it.coordinator), it.sequence, it.leaving,
             encodeDuration(it.storeUptime), encodeStatuses(it.vms), std::move(demand), encodeInFlight(it.inFlight),
             std::move(domains), encodeColdTimes(it.coldTargets), encodeEvacuations(it.evacuations),
-            encodeNamedRates(it.namedRates), encodeAge(it.storeContactAge), it.heardFraction, it.feed };
+            encodeNamedRates(it.namedRates), encodeAge(it.storeContactAge), it.heardFraction, it.feed,
+            std::move(mixes) };
     }
 
     Json encode(const entry::AdmissionRequest& it)
@@ -235,6 +270,7 @@
             .storeContactAge = decodeAge(json.at(11)),
             .servesFeed = json.at(12).get<bool>(),
             .demand = decodeDemand(json.at(6)),
+            .mixes = decodeMixes(json.at(13)),
             .inFlight = decodeInFlight(json.at(7)),
             .coldTargets = decodeColdTimes(json.at(8)),
             .namedRates = decodeNamedRates(json.at(10)),
@@ -254,6 +290,7 @@
             .acknowledgedReports = decodeReceivedReports(json.at(10)),
             .accounts = decodeAccounts(json.at(7)),
             .demand = decodeDemand(json.at(8)),
+            .mixes = decodeMixes(json.at(16)),
             .inFlight = decodeInFlight(json.at(9)),
             .coldTargets = decodeColdTimes(json.at(11)),
             .namedRates = decodeNamedRates(json.at(13)),
@@ -276,6 +313,8 @@
             .evacuations = decodeEvacuations(json.at(10)) };
         for (const auto& [region, services] : json.at(6).items())
             out.demandByRegion[region] = decodeDemand(services);
+        for (const auto& [region, services] : json.at(15).items())
+            out.mixesByRegion[region] = decodeMixes(services);
         for (const auto& domain : json.at(8))
             out.domains.push_back(decodeDomainReport(domain));
         return out;
--- a/tests/node/message_codec_test.cpp
+++ b/tests/node/message_codec_test.cpp
@@ -31,6 +31,7 @@
         .acknowledgedReports = { { "south-a", { 9, 12 } } },
         .accounts = { { "acme", { 40, 2.5 } } },
         .demand = { { "cart", 8.0 } },
+        .mixes = { { "cart", { { { "north", 2.5 } }, { { 1, 0.5 } } } } },
         .inFlight = { { 123456, 3 } } };
     const auto it = roundTrip(report);
     EXPECT_EQ(it.coordinator, report.coordinator);
@@ -42,6 +43,7 @@
     EXPECT_EQ(it.acknowledgedReports.at("south-a").sequence, 12U);
     EXPECT_EQ(it.accounts.at("acme").admitted, 40U);
     EXPECT_EQ(it.demand, report.demand);
+    EXPECT_EQ(it.mixes, report.mixes);
     EXPECT_EQ(it.inFlight, report.inFlight);
 }
 
@@ -50,10 +52,12 @@
 {
     Digest digest { .coordinator = { "vm1", 77 }, .sequence = 5, .leaving = true };
     digest.demandByRegion["north"]["cart"] = 8;
+    digest.mixesByRegion["north"]["cart"] = { { { "south", 4.0 } }, { { 0, 1.5 } } };
     digest.domains.push_back({ .failureDomain = "south-a", .accounts = { { "acme", { 40, 2.5 } } } });
     const auto it = roundTrip(digest);
     EXPECT_TRUE(it.leaving);
     EXPECT_EQ(it.demandByRegion, digest.demandByRegion);
+    EXPECT_EQ(it.mixesByRegion, digest.mixesByRegion);
     ASSERT_EQ(it.domains.size(), 1U);
     EXPECT_EQ(it.domains.front().accounts.at("acme").admitted, 40U);
 }
