Give a region first to the requests that are restricted to it

Cause: the split among regions counted all demand alike. Where accounts may be served in one small region only, their requests come from the callers of all regions. That region kept its own callers' requests as well, ran at 3.8 to 8 requests for 3 slots while others had 1.4, and refused or delayed both; its targets also loaded the objects of all regions' callers twice, so that half of their attempts met a cold cache.

Change: what is restricted to a region is taken from its fair part before the rest is split. In a region of which such requests use more than half of the fair part, an object uses one target instead of two.

The three new tests of RegionShift fail if the restricted demand is ignored.

--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -7,6 +7,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +46,13 @@
     NoTargetReason reason = NoTargetReason::NoneInService;
 };
 
+/// \brief Requests per second by service and region of the callers.
+using DemandByRegion = std::map<std::string, std::map<std::string, double>>;
+
+/// \brief Part of the demand that is restricted to some regions: requests per second by service, region of the callers
+/// and region that serves them.
+using RestrictedDemand = std::map<std::string, std::map<std::string, std::map<std::string, double, std::less<>>>>;
+
 /// \brief Split of this region's requests for one service among regions.
 ///
 /// A fraction of the affinity values stays in the region where the requests arrive. The others are spread over the
@@ -51,6 +60,9 @@
 struct RegionSplit {
     /// Fraction of the affinity values by region, including this VM's; the sum is 1
     std::map<std::string, double> fractions;
+    /// Regions of which requests that have no other region use a large part. They serve the objects of callers of all
+    /// regions, so that an object gets one target there.
+    std::set<std::string> sharedRegions;
     TimePoint updatedAt {};
 };
 
@@ -68,9 +80,10 @@
     [[nodiscard]] TargetChoice choose(TargetTable& targets, const Placement& placement, TimePoint now);
 
     /// \brief Recomputes the split of each service from demand and slots.
-    /// \param demand requests per second by service and region, summed over all VMs
+    /// \param demand summed over all VMs
+    /// \param restricted part of \p demand that only some regions may serve
     void updateSplits(
-        const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand, TimePoint now);
+        const TargetTable& targets, const DemandByRegion& demand, const RestrictedDemand& restricted, TimePoint now);
 
     [[nodiscard]] const std::map<std::string, RegionSplit>& splits() const noexcept { return m_splits; }
 
@@ -81,8 +94,20 @@
         double loadPerSlot = 0;
     };
 
+    /// Demand for one service.
+    struct UnrestrictedDemand {
+        std::map<std::string, double> perSecond; ///< that any region may serve, by region of the callers
+        std::map<std::string, double> restrictedTo; ///< that is restricted to a region, by that region
+    };
+
+    [[nodiscard]] static std::set<std::string> sharedRegions(
+        const std::map<std::string, double>& slots, const UnrestrictedDemand& demand);
     [[nodiscard]] std::map<std::string, double> desiredFractions(
-        const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const;
+        const std::map<std::string, double>& slots, const UnrestrictedDemand& demand) const;
+    [[nodiscard]] static const Candidate* leastLoaded(std::span<const Candidate> candidates, double maxLoad);
+    /// \param candidates in rendezvous order
+    [[nodiscard]] const Candidate* chooseByAffinity(
+        std::span<const Candidate> candidates, const std::string& service, double maxLoad) const;
     [[nodiscard]] std::string chooseRegion(const Placement& placement, std::uint64_t affinityHash);
     [[nodiscard]] std::vector<Candidate> collectCandidates(
         TargetTable& targets, const Placement& placement, std::uint64_t affinityHash, TimePoint now);
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -525,6 +525,16 @@
         return out;
     }
 
+    RestrictedDemand restrictedDemand(const EntryState& state, TimePoint now)
+    {
+        RestrictedDemand out;
+        for (const auto& [region, mixes] : mixesByRegion(state, now)) {
+            for (const auto& [service, mix] : mixes)
+                out[service][region] = mix.restrictedPerSecond;
+        }
+        return out;
+    }
+
     InFlightCounts othersInFlight(const EntryState& state, TimePoint now)
     {
         InFlightCounts out;
@@ -745,7 +755,7 @@
     state.domainReports.expire(now);
     state.quota.updateShares(otherDomains(state), now);
     updateOthersInFlight(state, now);
-    state.selection.updateSplits(state.targets, demandByService(state, now), now);
+    state.selection.updateSplits(state.targets, demandByService(state, now), restrictedDemand(state, now), now);
     updateColdnessKnowledge(state, now, out);
     updateRateShares(state.targets, state.policy, state.members, now);
     for (const auto& id : state.targets.removeExpired(now))
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 
 namespace arbutuscrank::entry {
 
@@ -30,6 +31,9 @@
     constexpr Duration startupTime = std::chrono::seconds(3);
     /// Minimum spare capacity of a region, as a fraction of its slots.
     constexpr double minSpareFraction = 0.02;
+    /// Restricted demand from which a region counts as shared, as a fraction of the demand that its slots would take in
+    /// an even spread over the fleet.
+    constexpr double sharedRegionFraction = 0.5;
     /// Hash seed that decides whether an affinity value stays in its region.
     constexpr std::uint64_t localityHashSeed = 2;
     bool isListed(const std::vector<std::string>* list, const std::string& name)
@@ -69,6 +73,29 @@
             fractions[region] += stepFraction * (fraction - fractions[region]);
     }
 
+    /// Takes the restricted requests out of the demand of their callers' regions, and sums them by the region that
+    /// serves them.
+    void subtractRestricted(const std::map<std::string, std::map<std::string, double, std::less<>>>& restricted,
+        std::map<std::string, double>& demand, std::map<std::string, double>& restrictedTo)
+    {
+        for (const auto& [callers, byRegion] : restricted) {
+            const auto it = demand.find(callers);
+            if (it == demand.end())
+                continue;
+            for (const auto& [region, perSecond] : byRegion) {
+                const double part = std::min(it->second, perSecond);
+                it->second -= part;
+                restrictedTo[region] += part;
+            }
+        }
+    }
+
+    double sumOf(const std::map<std::string, double>& values)
+    {
+        return std::accumulate(
+            values.begin(), values.end(), 0.0, [](double sum, const auto& item) { return sum + item.second; });
+    }
+
     double toUnitInterval(std::uint64_t bits) { return (static_cast<double>(bits >> 11U) + 0.5) * 0x1.0p-53; }
 
     /// Weight of a target in rendezvous hashing. A target with twice the slots receives twice the affinity values.
@@ -186,25 +213,43 @@
         if (limited != candidates.end())
             return { .target = limited->target };
     }
-    // Affinity requests use only the first targets. A target that receives requests for all objects evicts each object
-    // before it is requested again.
-    if (!placement.affinity.empty() && candidates.size() > affinityLoad.size())
-        candidates.resize(affinityLoad.size());
+    const auto* chosen = placement.affinity.empty()
+        ? leastLoaded(candidates, placement.maxLoad)
+        : chooseByAffinity(candidates, placement.service, placement.maxLoad);
+    if (!chosen)
+        return { .reason = NoTargetReason::NoneAvailable };
+    return { .target = chosen->target };
+}
+
+const TargetSelection::Candidate* TargetSelection::leastLoaded(std::span<const Candidate> candidates, double maxLoad)
+{
     const Candidate* best = nullptr;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto& it = candidates[i];
-        if (!placement.affinity.empty() && it.loadPerSlot < std::min(affinityLoad[i], placement.maxLoad))
-            return { .target = it.target };
-        if (it.loadPerSlot < placement.maxLoad && (!best || it.loadPerSlot < best->loadPerSlot))
+    for (const auto& it : candidates) {
+        if (it.loadPerSlot < maxLoad && (!best || it.loadPerSlot < best->loadPerSlot))
             best = &it;
     }
-    if (!best)
-        return { .reason = NoTargetReason::NoneAvailable };
-    return { .target = best->target };
+    return best;
+}
+
+const TargetSelection::Candidate* TargetSelection::chooseByAffinity(
+    std::span<const Candidate> candidates, const std::string& service, double maxLoad) const
+{
+    // A target that receives requests for all objects evicts each object before it is requested again, so that requests
+    // for one object use few targets.
+    const auto split = m_splits.find(service);
+    const bool isShared = split != m_splits.end() && !candidates.empty()
+        && split->second.sharedRegions.contains(candidates.front().target->record.region);
+    const auto homes
+        = candidates.first(std::min(candidates.size(), isShared ? std::size_t { 1 } : affinityLoad.size()));
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        if (homes[i].loadPerSlot < std::min(affinityLoad[i], maxLoad))
+            return &homes[i];
+    }
+    return leastLoaded(homes, maxLoad);
 }
 
 void TargetSelection::updateSplits(
-    const TargetTable& targets, const std::map<std::string, std::map<std::string, double>>& demand, TimePoint now)
+    const TargetTable& targets, const DemandByRegion& demand, const RestrictedDemand& restricted, TimePoint now)
 {
     std::map<std::string, std::map<std::string, double>> slots;
     for (const auto& [id, target] : targets.all()) {
@@ -215,11 +260,15 @@
     if (!slots.empty() && !m_firstSplitAt)
         m_firstSplitAt = now;
     const bool isStarting = m_firstSplitAt && now - *m_firstSplitAt < startupTime;
-    static const std::map<std::string, double> noDemand;
     for (const auto& [service, bySlots] : slots) {
-        const auto found = demand.find(service);
+        UnrestrictedDemand unrestricted;
+        if (const auto it = demand.find(service); it != demand.end())
+            unrestricted.perSecond = it->second;
+        if (const auto it = restricted.find(service); it != restricted.end())
+            subtractRestricted(it->second, unrestricted.perSecond, unrestricted.restrictedTo);
         auto& split = m_splits[service];
-        const auto desired = desiredFractions(bySlots, found == demand.end() ? noDemand : found->second);
+        split.sharedRegions = sharedRegions(bySlots, unrestricted);
+        const auto desired = desiredFractions(bySlots, unrestricted);
         const double elapsed = std::chrono::duration<double>(now - split.updatedAt).count();
         const double step = shiftFractionPerSecond * m_bounds.maxRegionShift * elapsed;
         split.updatedAt = now;
@@ -230,32 +279,48 @@
     }
 }
 
+std::set<std::string> TargetSelection::sharedRegions(
+    const std::map<std::string, double>& slots, const UnrestrictedDemand& demand)
+{
+    const double totalSlots = sumOf(slots);
+    const double all = sumOf(demand.perSecond) + sumOf(demand.restrictedTo);
+    std::set<std::string> out;
+    for (const auto& [region, n] : slots) {
+        const auto it = demand.restrictedTo.find(region);
+        if (it != demand.restrictedTo.end() && it->second > sharedRegionFraction * all * n / totalSlots)
+            out.insert(region);
+    }
+    return out;
+}
+
 std::map<std::string, double> TargetSelection::desiredFractions(
-    const std::map<std::string, double>& slots, const std::map<std::string, double>& demand) const
+    const std::map<std::string, double>& slots, const UnrestrictedDemand& demand) const
 {
-    double totalSlots = 0;
-    double totalDemand = 0;
-    for (const auto& [region, n] : slots)
-        totalSlots += n;
-    for (const auto& [region, perSecond] : demand)
-        totalDemand += perSecond;
+    const auto valueOf = [](const std::map<std::string, double>& values, const std::string& region) {
+        const auto it = values.find(region);
+        return it == values.end() ? 0.0 : it->second;
+    };
+    const double totalSlots = sumOf(slots);
+    const double reported = sumOf(demand.perSecond);
+    // Without reported demand, all regions with targets are assumed to have equal demand.
     const auto demandOf = [&](const std::string& region) {
-        const auto it = demand.find(region);
-        // Without reported demand, all regions with targets are assumed to have equal demand.
-        return totalDemand <= 0 ? 1.0 / static_cast<double>(slots.size()) : it == demand.end() ? 0 : it->second;
+        return reported <= 0 ? 1.0 / static_cast<double>(slots.size()) : valueOf(demand.perSecond, region);
     };
-    const double all = totalDemand <= 0 ? 1 : totalDemand;
+    const double unrestricted = reported <= 0 ? 1 : reported;
+    const double all = unrestricted + sumOf(demand.restrictedTo);
     double localFraction = 0;
     double totalSpare = 0;
     std::map<std::string, double> fractions;
     for (const auto& [region, n] : slots) {
-        const double fairDemand = localPreference * all * n / totalSlots;
+        // What is restricted to a region has no other place to go, so it comes first.
+        const double fairDemand
+            = std::max(0.0, localPreference * all * n / totalSlots - valueOf(demand.restrictedTo, region));
         const double ownDemand = demandOf(region);
         if (region == m_region) {
             localFraction = ownDemand <= fairDemand ? 1 : fairDemand / ownDemand;
             continue;
         }
-        fractions[region] = std::max(minSpareFraction * n / totalSlots, (fairDemand - ownDemand) / all);
+        fractions[region] = std::max(minSpareFraction * n / totalSlots, (fairDemand - ownDemand) / unrestricted);
         totalSpare += fractions[region];
     }
     for (auto& [region, fraction] : fractions)
--- a/tests/entry/region_shift_failure_test.cpp
+++ b/tests/entry/region_shift_failure_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace arbutuscrank::entry::test {
 
 namespace {
@@ -21,11 +23,11 @@
             (void)targets.applySnapshot(records, now);
         }
 
-        void advance(Duration duration, const Demand& demand)
+        void advance(Duration duration, const Demand& demand, const RestrictedDemand& restricted = {})
         {
             for (Duration done {}; done < duration; done += milliseconds(200)) {
                 now += milliseconds(200);
-                selection.updateSplits(targets, demand, now);
+                selection.updateSplits(targets, demand, restricted, now);
             }
         }
 
@@ -42,12 +44,12 @@
         }
 
         /// Largest fraction of the affinity values that change their region from one window of 2 s to the next.
-        double largestShift(Duration duration, const Demand& demand)
+        double largestShift(Duration duration, const Demand& demand, const RestrictedDemand& restricted = {})
         {
             double largest = 0;
             auto before = regions();
             for (Duration done {}; done < duration; done += seconds(2)) {
-                advance(seconds(2), demand);
+                advance(seconds(2), demand, restricted);
                 const auto after = regions();
                 double changed = 0;
                 for (std::size_t i = 0; i < after.size(); ++i)
@@ -92,4 +94,48 @@
     EXPECT_GT(fractions.at("south"), fractions.at("west"));
 }
 
+// Guards against a region that keeps its own callers' requests although requests which no other region may serve fill
+// it.
+TEST_F(RegionShift, LeavesARegionToTheRequestsThatAreRestrictedToIt)
+{
+    const Demand demand { { "cart", { { "north", 300 }, { "south", 400 }, { "west", 300 } } } };
+    advance(seconds(8), demand);
+    EXPECT_GT(selection.splits().at("cart").fractions.at("north"), 0.25);
+    const RestrictedDemand restricted { { "cart",
+        { { "south", { { "north", 80 } } }, { "west", { { "north", 40 } } } } } };
+    EXPECT_LE(largestShift(seconds(10), demand, restricted), Bounds {}.maxRegionShift);
+    EXPECT_LT(selection.splits().at("cart").fractions.at("north"), 0.06);
+}
+
+// Guards against restricted requests that count twice: the demand that any region may serve is what is left of all.
+TEST_F(RegionShift, KeepsItsCallersWhereOnlyTheirOwnRequestsAreRestricted)
+{
+    const Demand demand { { "cart", { { "north", 60 }, { "south", 500 }, { "west", 400 } } } };
+    advance(seconds(8), demand, { { "cart", { { "north", { { "north", 60 } } } } } });
+    EXPECT_DOUBLE_EQ(selection.splits().at("cart").fractions.at("north"), 1);
+}
+
+// Guards against objects that evict each other: a region that has to serve the objects of all regions' callers gives
+// each of them one target, although it is busy.
+TEST_F(RegionShift, AnObjectUsesOneTargetInARegionThatRestrictedRequestsShare)
+{
+    const std::vector<std::string> onlyNorth { "north" };
+    const Placement placement {
+        .service = "cart", .affinity = "read\n7", .accountRegions = &onlyNorth, .idempotent = true, .maxLoad = 1.6
+    };
+    const auto targetsUsed = [&](const RestrictedDemand& restricted) {
+        advance(seconds(8), { { "cart", { { "north", 300 }, { "south", 400 }, { "west", 300 } } } }, restricted);
+        for (auto& [id, target] : targets.all())
+            target.inFlight = 0;
+        std::set<std::string> used;
+        while (auto* target = selection.choose(targets, placement, now).target) {
+            ++target->inFlight;
+            used.insert(target->record.id);
+        }
+        return used.size();
+    };
+    EXPECT_EQ(targetsUsed({}), 2U);
+    EXPECT_EQ(targetsUsed({ { "cart", { { "south", { { "north", 80 } } } } } }), 1U);
+}
+
 } // namespace arbutuscrank::entry::test
