Share the room of a service by priority, objective and work

While callers ask for more work than the targets in service have slots for, each priority gets a fraction that follows from the reports of the fleet; the highest is served first and each keeps a floor. Within a priority, requests that can meet their objective go first, then those of routes that need less work. The rest is rejected at once as not run, with a Retry-After that spreads the returning callers.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -55,6 +55,7 @@
     TargetLimited = 509,
     TargetPaused = 510,
     EvacuationRecordsRead = 511,
+    RoomShared = 512,
     // 6xx: requests
     RequestRefused = 600,
     RequestOutcomeUnknown = 601,
--- a/include/arbutuscrank/entry.hpp
+++ b/include/arbutuscrank/entry.hpp
@@ -13,6 +13,8 @@
 #include <arbutuscrank/entry/rate_shares.hpp>
 #include <arbutuscrank/entry/rendezvous.hpp>
 #include <arbutuscrank/entry/retry_limit.hpp>
+#include <arbutuscrank/entry/room_sharing.hpp>
+#include <arbutuscrank/entry/route_work.hpp>
 #include <arbutuscrank/entry/settings.hpp>
 #include <arbutuscrank/entry/state.hpp>
 #include <arbutuscrank/entry/store_source.hpp>
--- a/include/arbutuscrank/entry/rate_shares.hpp
+++ b/include/arbutuscrank/entry/rate_shares.hpp
@@ -4,6 +4,8 @@
 #include <arbutuscrank/entry/targets.hpp>
 #include <arbutuscrank/entry/traffic_policy.hpp>
 
+#include <optional>
+
 /// \file
 /// \brief This VM's shares of the request rates that targets allow to all VMs together.
 ///
@@ -14,6 +16,11 @@
 
 namespace arbutuscrank::entry {
 
+/// \brief Requests per second that a target allows to all VMs together.
+/// \returns std::nullopt if its rate is not limited
+[[nodiscard]] std::optional<double> allowedRate(
+    const TargetTable& targets, const Target& target, const PolicyIndex& policy, TimePoint now);
+
 /// \brief Updates this VM's share of the rate of one target, if the rate is limited. Which VMs share it is computed
 /// only for targets that are new and after the VMs of a region have changed.
 void updateRateShare(
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -7,6 +7,7 @@
 #include <arbutuscrank/entry/events.hpp>
 #include <arbutuscrank/entry/quota_sharing.hpp>
 #include <arbutuscrank/entry/retry_limit.hpp>
+#include <arbutuscrank/entry/room_sharing.hpp>
 #include <arbutuscrank/entry/settings.hpp>
 #include <arbutuscrank/entry/store_source.hpp>
 #include <arbutuscrank/entry/target_selection.hpp>
@@ -27,6 +28,7 @@
     std::string target;
     TimePoint sentAt {};
     bool isTrial = false;
+    double loadPerSlot = 0; ///< load of the target when the attempt was sent, the attempt included
 };
 
 /// \brief A request of a caller from its arrival to its final answer.
@@ -94,6 +96,7 @@
     TargetSelection selection;
     QuotaSharing quota;
     RetryLimit retryLimit;
+    RoomSharing room;
     MemberTable members;
     bool hasMemberList = false; ///< the list of registered VMs has been read
     Coordination coordination;
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -85,6 +85,8 @@
         return "target-paused";
     case LogEvent::EvacuationRecordsRead:
         return "evacuation-records-read";
+    case LogEvent::RoomShared:
+        return "room-shared";
     case LogEvent::RequestRefused:
         return "request-refused";
     case LogEvent::RequestOutcomeUnknown:
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -38,11 +38,6 @@
     /// added to it. Busy targets free a slot within a few hundred milliseconds.
     constexpr Duration minNotRunRetryAfter = milliseconds(150);
     constexpr Duration notRunRetryAfterJitter = milliseconds(450);
-    /// Load per slot up to which requests of the highest priority are queued at a target, the decrease for each lower
-    /// priority, and the minimum.
-    constexpr double highestPriorityMaxLoad = 2.0;
-    constexpr double maxLoadStepPerPriority = 0.4;
-    constexpr double minMaxLoad = 1.1;
 
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -93,7 +88,20 @@
         return out;
     }
 
-    TargetChoice chooseTarget(EntryState& state, const Request& request, TimePoint now)
+    RoomAsk roomAsk(const Request& request, TimePoint now)
+    {
+        const auto timeLeft = request.deadline - now;
+        const bool hasObjective = request.latencyObjective > Duration::zero();
+        return {
+            .service = request.service,
+            .route = request.route,
+            .priority = request.priority,
+            .objectiveLeft = hasObjective ? request.arrivedAt + request.latencyObjective - now : timeLeft,
+            .timeLeft = timeLeft,
+        };
+    }
+
+    TargetChoice chooseTarget(EntryState& state, const Request& request, double maxLoad, TimePoint now)
     {
         const Placement placement {
             .service = request.service,
@@ -102,7 +110,7 @@
             .accountRegions = &request.accountRegions,
             .excludedTargets = &request.triedTargets,
             .idempotent = request.idempotent,
-            .maxLoad = std::max(minMaxLoad, highestPriorityMaxLoad - maxLoadStepPerPriority * request.priority),
+            .maxLoad = maxLoad,
         };
         return state.selection.choose(state.targets, placement, now);
     }
@@ -112,7 +120,7 @@
     {
         auto& demand = state.serviceDemand[request.service];
         ++demand.admittedSinceUpdate;
-        demand.workSinceUpdate[request.priority] += seconds(typicalDuration(state, request));
+        demand.workSinceUpdate[request.priority] += state.room.meanWork(request.route);
         const auto regions = permittedRegions(request);
         for (const auto& region : regions)
             demand.restrictedSinceUpdate[region] += 1.0 / static_cast<double>(regions.size());
@@ -128,7 +136,11 @@
         if (state.targets.isRateLimited(target, now))
             (void)target.rateBucket.trySpend(oneToken, now); // cannot fail: choose() has checked the bucket
         const auto attempt = ++state.lastAttemptId;
-        request.attempts.emplace(attempt, Attempt { target.record.id, now, choice.isTrial });
+        request.attempts.emplace(attempt,
+            Attempt { .target = target.record.id,
+                .sentAt = now,
+                .isTrial = choice.isTrial,
+                .loadPerSlot = target.load(now) / std::max(1U, target.record.slots) });
         request.triedTargets.push_back(target.record.id);
         ++request.countedAttempts;
         out.push_back(SendAttempt {
@@ -168,7 +180,10 @@
     {
         if (request.countedAttempts >= request.maxAttempts || !hasTimeForRetry(state, request, now))
             return false;
-        const auto choice = chooseTarget(state, request, now);
+        const auto ask = roomAsk(request, now);
+        if (!state.room.permitsFurtherAttempt(ask))
+            return false;
+        const auto choice = chooseTarget(state, request, state.room.maxLoad(ask), now);
         if (!choice.target || !state.retryLimit.tryTakeRetry(request.service, now))
             return false;
         send(state, id, request, choice, now, out);
@@ -303,7 +318,16 @@
     {
         countDemand(state, request);
         state.retryLimit.countRequest(request.service, now);
-        const auto choice = chooseTarget(state, request, now);
+        const auto decision = state.room.decide(roomAsk(request, now), state.random);
+        if (const auto* rejected = std::get_if<RejectForRoom>(&decision)) {
+            admission::returnToken(state, request, out);
+            answerLocally(state, id, request, 503, "room-shared", rejected->retryAfter,
+                fmt::format("priority={} cause={} retry_after_ms={}", request.priority, rejected->cause,
+                    rejected->retryAfter / milliseconds(1)),
+                now, out);
+            return;
+        }
+        const auto choice = chooseTarget(state, request, std::get<Admit>(decision).maxLoad, now);
         if (choice.target)
             send(state, id, request, choice, now, out);
         else
@@ -392,6 +416,7 @@
     }
     if (event.kind == Complete) {
         recordDuration(state, request, durationSeconds);
+        state.room.recordAttempt(request.route, now - attempt.sentAt, attempt.loadPerSlot, now);
         out.push_back(DeliverAnswer { event.request, event.attempt, request.account, request.service });
         attempts::finish(state, event.request, now, out);
         return;
--- a/src/entry/rate_shares.cpp
+++ b/src/entry/rate_shares.cpp
@@ -28,25 +28,28 @@
             .includesSelf = isCandidate && static_cast<std::size_t>(precedingVmCount) < maxSenders };
     }
 
-    /// Requests per second that a target allows to all VMs together.
-    double allowedRate(const TargetTable& targets, const Target& target, const PolicyIndex& policy, TimePoint now)
-    {
-        const auto* service = policy.findService(target.record.service);
-        const double coldRate = service ? service->coldRate : 0;
-        const auto named = target.rateLimit(now);
-        if (!named)
-            return coldRate;
-        return targets.isColdnessUnknown() || target.isCold(now) ? std::min(coldRate, *named) : *named;
-    }
-
     MicroTokens microTokens(double tokens) { return static_cast<MicroTokens>(tokens * static_cast<double>(oneToken)); }
 
 } // namespace
 
+std::optional<double> allowedRate(
+    const TargetTable& targets, const Target& target, const PolicyIndex& policy, TimePoint now)
+{
+    if (!targets.isRateLimited(target, now))
+        return std::nullopt;
+    const auto* service = policy.findService(target.record.service);
+    const double coldRate = service ? service->coldRate : 0;
+    const auto named = target.rateLimit(now);
+    if (!named)
+        return coldRate;
+    return targets.isColdnessUnknown() || target.isCold(now) ? std::min(coldRate, *named) : *named;
+}
+
 void updateRateShare(
     const TargetTable& targets, Target& target, const PolicyIndex& policy, const MemberTable& members, TimePoint now)
 {
-    if (!targets.isRateLimited(target, now)) {
+    const auto allowed = allowedRate(targets, target, policy, now);
+    if (!allowed) {
         target.isRateShared = false;
         return;
     }
@@ -57,7 +60,7 @@
         target.rateBucket = {};
     const auto& senders = target.rateSenders;
     const double rate
-        = senders.includesSelf ? allowedRate(targets, target, policy, now) / static_cast<double>(senders.count) : 0;
+        = senders.includesSelf ? *allowed / static_cast<double>(senders.count) : 0;
     target.rateBucket.setShare(microTokens(rate), microTokens(senders.includesSelf ? burstRequests : 0), now);
 }
 
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -642,6 +642,17 @@
     return longest;
 }
 
+ServiceMixes fleetMixes(const EntryState& state, TimePoint now)
+{
+    ServiceMixes out;
+    const auto receivedAt = state.fleetLoad.receivedAt;
+    if (!state.coordination.isCoordinator() && (!receivedAt || now - *receivedAt > fleetLoadMaxAge))
+        return out;
+    for (const auto& [region, mixes] : mixesByRegion(state, now))
+        addMixes(out, mixes);
+    return out;
+}
+
 void sendReports(EntryState& state, TimePoint now, Effects& out)
 {
     if (state.coordination.isCoordinator())
@@ -748,6 +759,7 @@
     state.selection.updateSplits(state.targets, demandByService(state, now), now);
     updateColdnessKnowledge(state, now, out);
     updateRateShares(state.targets, state.policy, state.members, now);
+    updateRoomSharing(state, elapsed, now, out);
     for (const auto& id : state.targets.removeExpired(now))
         out.push_back(WriteLog { LogEvent::TargetDrained, fmt::format("target={} cause=lapsed", id) });
     if (!state.refusesKeyedRequests && state.policyConfirmedAt && !isPolicyFresh(state, now)) {
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -70,6 +70,14 @@
 /// \brief Repeats the election of the failure domain's coordinator.
 void updateCoordination(EntryState& state, TimePoint now, Effects& out);
 
+/// \brief What the demand of the whole fleet consists of, as last reported; empty if the report is too old.
+[[nodiscard]] ServiceMixes fleetMixes(const EntryState& state, TimePoint now);
+
+/// \brief Shares the room of each service by the reported work and the targets in service, and logs the beginning and
+/// the end of sharing.
+/// \param elapsedSeconds time since the last update
+void updateRoomSharing(EntryState& state, double elapsedSeconds, TimePoint now, Effects& out);
+
 /// \brief Sends this VM's reports immediately: to its coordinator, or as coordinator to the other coordinators and to
 /// the VMs of its failure domain.
 void sendReports(EntryState& state, TimePoint now, Effects& out);
