--- a/src/entry/rate_shares.cpp
+++ b/src/entry/rate_shares.cpp
@@ -59,8 +59,7 @@
     if (!std::exchange(target.isRateShared, true))
         target.rateBucket = {};
     const auto& senders = target.rateSenders;
-    const double rate
-        = senders.includesSelf ? *allowed / static_cast<double>(senders.count) : 0;
+    const double rate = senders.includesSelf ? *allowed / static_cast<double>(senders.count) : 0;
     target.rateBucket.setShare(microTokens(rate), microTokens(senders.includesSelf ? burstRequests : 0), now);
 }
 
--- a/src/entry/room_sharing.cpp
+++ b/src/entry/room_sharing.cpp
@@ -157,9 +157,8 @@
     }
     if (fraction >= 1 || fraction <= floor)
         return;
-    std::ranges::sort(ranked, [](const auto& a, const auto& b) {
-        return a.isLate != b.isLate ? b.isLate : a.work < b.work;
-    });
+    std::ranges::sort(
+        ranked, [](const auto& a, const auto& b) { return a.isLate != b.isLate ? b.isLate : a.work < b.work; });
     for (const auto& it : ranked) {
         const double extra = std::min((1 - floor) * it.asked, left);
         it.item->fraction = floor + extra / it.asked;
@@ -180,8 +179,7 @@
     for (auto& [priority, classes] : state.classes) {
         for (auto& [key, item] : classes) {
             if (elapsedSeconds > 0)
-                item.requestsPerSecond
-                    += weight * (item.requestsSinceUpdate / elapsedSeconds - item.requestsPerSecond);
+                item.requestsPerSecond += weight * (item.requestsSinceUpdate / elapsedSeconds - item.requestsPerSecond);
             item.requestsSinceUpdate = 0;
         }
         std::erase_if(classes, [](const auto& entry) { return entry.second.requestsPerSecond < minRequestRate; });
@@ -213,8 +211,8 @@
     // Lower priorities may not wait longer, so the limit stays above theirs.
     const double least = defaultMaxLoad(ask.priority + 1);
     const auto* work = findWork(ask.route);
-    const bool isMostUrgent = std::ranges::none_of(it->second.fractions,
-        [&](const auto& item) { return item.first < ask.priority; });
+    const bool isMostUrgent
+        = std::ranges::none_of(it->second.fractions, [&](const auto& item) { return item.first < ask.priority; });
     const double waitSeconds = isMostUrgent ? seconds(ask.timeLeft) - (work ? work->quantile(slowQuantile) : 0)
                                             : seconds(ask.objectiveLeft) - (work ? work->quantile(0.5) : 0);
     return std::clamp(1 + waitSeconds / typicalWait, least, most);
