--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -181,7 +181,8 @@
         if (request.countedAttempts >= request.maxAttempts || !hasTimeForRetry(state, request, now))
             return false;
         const auto ask = roomAsk(request, now);
-        if (!state.room.permitsFurtherAttempt(ask))
+        // A request that may have run fails without a retry, which is worse than a late answer.
+        if (!request.mayHaveRun && !state.room.permitsFurtherAttempt(ask))
             return false;
         const auto choice = chooseTarget(state, request, state.room.maxLoad(ask), now);
         if (!choice.target || !state.retryLimit.tryTakeRetry(request.service, now))
--- a/tests/entry/room_sharing_test.cpp
+++ b/tests/entry/room_sharing_test.cpp
@@ -285,4 +285,29 @@
     EXPECT_TRUE(isLogged);
 }
 
+// Guards against shares that outlive the reports that they follow from, when the coordinator is lost.
+TEST(RoomSharing, EndsWhenNoDigestArrives)
+{
+    Entry entry;
+    entry.useTargets({ makeTarget("t1") });
+    entry.handle(MembersListed { { { .process = { "vm0", 1 },
+        .region = "north",
+        .failureDomain = "north-a",
+        .callerAddress = "10.1.0.2:80",
+        .reportAddress = "10.1.0.2:90",
+        .capacity = 9 } } });
+    const ServiceMixes mixes { { "cart", { .slotsByPriority = { { 0, 10 }, { 1, 10 } } } } };
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        entry.handle(
+            DigestReceived { { .coordinator = { "vm0", 1 }, .sequence = i, .mixesByRegion = { { "north", mixes } } } });
+        entry.advance(milliseconds(200));
+    }
+    EXPECT_FALSE(entry.state.coordination.isCoordinator());
+    EXPECT_LT(entry.state.room.leastFraction(), 1);
+    EXPECT_EQ(entry.state.room.sharedServiceCount(), 1U);
+    entry.advance(seconds(3));
+    EXPECT_EQ(entry.state.room.leastFraction(), 1);
+    EXPECT_EQ(entry.state.room.sharedServiceCount(), 0U);
+}
+
 } // namespace arbutuscrank::entry::test
