--- a/tests/entry/room_sharing_failure_test.cpp
+++ b/tests/entry/room_sharing_failure_test.cpp
@@ -1,7 +1,9 @@
 #include <arbutuscrank/core/random.hpp>
 #include <arbutuscrank/entry.hpp>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <array>
 #include <cmath>
@@ -15,7 +17,6 @@
 
     using std::chrono::milliseconds;
 
-    constexpr std::size_t vmCount = 20;
     constexpr std::size_t targetCount = 16;
     constexpr std::size_t slotsPerTarget = 4;
     constexpr std::size_t queueLength = 9;
@@ -69,6 +70,7 @@
         std::function<double(std::size_t kind, double second)> factor;
         bool returnsAtOnce = false; ///< callers ignore Retry-After
         std::optional<double> restartAt; ///< second at which all VMs lose what they know
+        std::size_t vmCount = 20;
     };
 
     /// VMs and targets of one region in logical time. VMs know loads that are \ref viewDelay old and demand that is
@@ -79,7 +81,7 @@
             : m_load(std::move(load))
             , m_sharesRoom(sharesRoom)
             , m_random(seed)
-            , m_vms(vmCount)
+            , m_vms(m_load.vmCount)
             , m_targets(targetCount)
         {
         }
@@ -89,7 +91,7 @@
         {
             for (int i = 0; seconds(m_now) < end; ++i, m_now += step) {
                 if (m_load.restartAt && std::abs(seconds(m_now) - *m_load.restartAt) < 0.001) {
-                    m_vms.assign(vmCount, RoomSharing());
+                    m_vms.assign(m_vms.size(), RoomSharing());
                     m_reports.clear();
                     m_asked.clear();
                 }
@@ -135,7 +137,7 @@
         void offer(Call call)
         {
             const auto& kind = kinds.at(call.kind);
-            call.vm = m_random.below(vmCount);
+            call.vm = m_random.below(m_vms.size());
             call.sentAt = m_now;
             auto& room = m_vms[call.vm];
             m_asked[kind.priority] += room.meanWork(kind.route);
@@ -256,10 +258,10 @@
         Outcomes after;
     };
 
-    Comparison compare(const Load& load, double firstCounted, double lastCounted)
+    Comparison compare(const Load& load, double firstCounted, double lastCounted, std::uint64_t seeds = 3)
     {
         Comparison out;
-        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             for (const bool sharesRoom : { false, true }) {
                 const auto outcomes = Model(load, sharesRoom, seed).run(firstCounted, lastCounted, lastCounted + 3);
                 for (std::size_t i = 0; i < kinds.size(); ++i) {
@@ -271,17 +273,23 @@
                 }
             }
         }
+        return out;
+    }
+
+    std::string describe(const Comparison& it)
+    {
+        std::string out;
         for (std::size_t i = 0; i < kinds.size(); ++i)
-            std::printf("%-7s in time %.3f -> %.3f answered %.3f -> %.3f refusals per request %.2f -> %.2f\n",
-                kinds.at(i).route.c_str(), out.before.at(i).inTimeShare(), out.after.at(i).inTimeShare(),
-                out.before.at(i).answeredShare(), out.after.at(i).answeredShare(),
-                out.before.at(i).refusals / out.before.at(i).asked, out.after.at(i).refusals / out.after.at(i).asked);
+            out += fmt::format("{}: in time {:.3f} -> {:.3f}, answered {:.3f} -> {:.3f}\n", kinds.at(i).route,
+                it.before.at(i).inTimeShare(), it.after.at(i).inTimeShare(), it.before.at(i).answeredShare(),
+                it.after.at(i).answeredShare());
         return out;
     }
 
     /// The most urgent kind is served better than before and at least as often as any other, and none starves.
     void expectUrgentServed(const Comparison& it)
     {
+        SCOPED_TRACE(describe(it));
         const auto& urgent = it.after[0];
         EXPECT_GT(urgent.inTimeShare(), it.before[0].inTimeShare() + 0.02);
         double asked = 0;
@@ -325,6 +333,21 @@
         { .factor = [](std::size_t kind, double) { return kind >= 1 ? 1.8 : 1.0; }, .returnsAtOnce = true }, 5, 12));
 }
 
+// Guards against a gain that depends on the number of VMs or on the size of the burst.
+RC_GTEST_PROP(RoomSharingLoad, BurstOfAnySizeWithAnyNumberOfVms, ())
+{
+    const auto kind = *rc::gen::inRange<std::size_t>(1, 4);
+    const double burst = 0.1 * *rc::gen::inRange(30, 70);
+    const auto vmCount = *rc::gen::inRange<std::size_t>(3, 301);
+    const auto it
+        = compare({ .factor = [&](std::size_t k, double s) { return k == kind && s >= 4 && s < 10 ? burst : 1.0; },
+                      .vmCount = vmCount },
+            5, 10, 1);
+    RC_LOG(describe(it));
+    RC_ASSERT(it.after[0].inTimeShare() > it.before[0].inTimeShare());
+    RC_ASSERT(it.after[0].answeredShare() > it.before[0].answeredShare());
+}
+
 // Guards against rejections and changes for callers while there is room.
 TEST(RoomSharingLoad, CalmLoadIsServedAsBefore)
 {
