--- a/tests/entry/room_sharing_failure_test.cpp
+++ b/tests/entry/room_sharing_failure_test.cpp
@@ -118,7 +118,8 @@
         {
             for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
                 const double expected = kinds[kind].perSecond * m_load.factor(kind, seconds(m_now)) * 0.005;
-                for (double n = expected - m_random.unit(); n > 0; n -= 1) {
+                const auto count = static_cast<int>(std::ceil(std::max(0.0, expected - m_random.unit())));
+                for (int n = 0; n < count; ++n) {
                     Call call {
                         .kind = kind, .firstSentAt = m_now, .work = kinds[kind].work * (0.5 + m_random.unit())
                     };
