End attempts whose answer has a status that HTTP does not define

Beast's parser takes any three digits as a status. An answer below 200 was taken for an informational one, so that a caller whose target answered 000 waited for its deadline (504), and an answer above 599 with a signature could be delivered.

A status below 100 or above 599, or a 101, now ends the attempt once the head is read, as sent with unknown outcome: 502, or a retry where the route allows it, and a failure of the target.

UndefinedStatusFailure.* failed before the change: 000 was still unanswered after 10 s, 600 was passed on as an answer, and the detail of the others was "bad status".

--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -2,6 +2,8 @@
 
 #include "node/clock.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -22,6 +24,36 @@
     constexpr Duration maxPause = std::chrono::minutes(10);
     /// Lower statuses are informational: the final answer follows.
     constexpr unsigned firstFinalStatus = 200;
+    /// HTTP defines the statuses from 100 to 599. Beast's parser takes any three digits.
+    constexpr unsigned firstDefinedStatus = 100;
+    constexpr unsigned lastDefinedStatus = 599;
+    /// Part of a status that is no number of three digits, for the log.
+    constexpr std::size_t maxLoggedStatusBytes = 16;
+
+    /// Describes why a target may not answer with this status, either finally or before its final answer.
+    /// \returns an empty text if it may
+    std::string describeRefusedStatus(unsigned status)
+    {
+        if (status < firstDefinedStatus || status > lastDefinedStatus)
+            return fmt::format("answer: status {:03} is not defined, allowed are {} to {}", status, firstDefinedStatus,
+                lastDefinedStatus);
+        // Requests are sent without an Upgrade field.
+        if (status == static_cast<unsigned>(http::status::switching_protocols))
+            return fmt::format("answer: status {} although no other protocol was asked for", status);
+        return {};
+    }
+
+    /// Reads the status from the bytes of an answer whose status line cannot be parsed.
+    std::string describeUnreadableStatus(std::string_view bytes)
+    {
+        const auto line = bytes.substr(0, bytes.find_first_of("\r\n"));
+        const auto start = std::min(line.find(' '), line.size());
+        const auto word = line.substr(std::min(start + 1, line.size()));
+        std::string text(word.substr(0, std::min(word.find(' '), maxLoggedStatusBytes)));
+        std::ranges::replace_if(
+            text, [](char c) { return c < ' ' || c > '~' || c == '"'; }, '?');
+        return fmt::format("answer: status \"{}\" cannot be read, allowed are three digits and a space", text);
+    }
 
     std::optional<entry::LoadReport> parseLoad(std::string_view text)
     {
@@ -166,9 +198,20 @@
         if (self->m_hasEnded)
             return;
         if (ec) {
-            self->fail(entry::AttemptProgress::Sent, "answer: " + ec.message());
+            const auto unread = self->m_buffer.data();
+            self->fail(entry::AttemptProgress::Sent,
+                ec == http::error::bad_status
+                    ? describeUnreadableStatus({ static_cast<const char*>(unread.data()), unread.size() })
+                    : "answer: " + ec.message());
             return;
         }
+        // The rest of such an answer, which may never come, is not waited for.
+        if (self->m_parser->is_header_done()) {
+            if (auto detail = describeRefusedStatus(self->m_parser->get().result_int()); !detail.empty()) {
+                self->fail(entry::AttemptProgress::Sent, std::move(detail));
+                return;
+            }
+        }
         self->countAnswerMemory();
         if (self->m_hasEnded)
             return;
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -1,5 +1,6 @@
 #include "node/target_fixture.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <malloc.h>
@@ -12,6 +13,33 @@
 
     struct TargetAnswersFailure : TargetFixture { };
 
+    struct UndefinedStatusFailure : TargetFixture {
+        /// Sends a request to targets that answer with each status and keep the connection open.
+        void expectRefused(const std::vector<std::string>& statuses)
+        {
+            for (const auto& status : statuses) {
+                for (const std::string body : { "own", "" }) { // with the whole body, and without any of it
+                    const ScriptedServer server([&](Tcp::socket& socket, int) {
+                        readRequest(socket);
+                        writeText(socket,
+                            "HTTP/1.1 " + status
+                                + " OK\r\nId: r1\r\nSignature: s\r\nNot-Run: 1\r\nContent-Length: 3\r\n\r\n" + body);
+                        readRequest(socket);
+                    });
+                    const auto result = send(server);
+                    connections.closeIdle(server.address()); // ends the script if the connection was kept
+                    ASSERT_EQ(result.failure, entry::AttemptProgress::Sent) << status;
+                    EXPECT_FALSE(result.notRun || result.hasSignature) << status;
+                    EXPECT_TRUE(result.answer.body().empty()) << status;
+                    const auto start = "answer: status " + (status.size() == 3 ? status : '"' + status);
+                    const auto quoted = "answer: status \"" + status.substr(0, 3);
+                    EXPECT_TRUE(result.detail.starts_with(start) || result.detail.starts_with(quoted)) << result.detail;
+                    EXPECT_EQ(std::ranges::count(result.detail, '"') % 2, 0) << result.detail;
+                }
+            }
+        }
+    };
+
     std::string refusal(const std::string& idHeader)
     {
         return "HTTP/1.1 503 Busy\r\n" + idHeader + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -176,6 +204,50 @@
     EXPECT_EQ(send(cut).failure, entry::AttemptProgress::Sent);
 }
 
+// Guards against a request that waits for its deadline after an answer that is taken for an informational one.
+TEST_F(UndefinedStatusFailure, LowStatusEndsTheAttempt) { expectRefused({ "000", "001", "020", "099", "101" }); }
+
+// Guards against an answer that is delivered with a status that callers cannot interpret.
+TEST_F(UndefinedStatusFailure, HighStatusEndsTheAttempt) { expectRefused({ "600", "700", "999" }); }
+
+// Guards against a status line whose fault the log does not name.
+TEST_F(UndefinedStatusFailure, StatusThatIsNotThreeDigitsEndsTheAttempt)
+{
+    expectRefused({ "20", "2000", "2x0", "abc", "-20", "+20", "0200", "200\"", "" });
+}
+
+// Guards against an answer that is refused although HTTP defines its class of statuses.
+TEST_F(TargetAnswersFailure, EveryStatusThatHttpDefinesIsAnAnswer)
+{
+    for (const unsigned status : { 200U, 299U, 308U, 418U, 499U, 500U, 599U }) {
+        const ScriptedServer server([&](Tcp::socket& socket, int) {
+            readRequest(socket);
+            writeText(socket, "HTTP/1.1 " + std::to_string(status) + " \r\nId: r1\r\nContent-Length: 3\r\n\r\nown");
+        });
+        const auto result = send(server);
+        EXPECT_FALSE(result.failure) << status << ": " << result.detail;
+        EXPECT_EQ(result.answer.result_int(), status);
+    }
+}
+
+// Guards against a target that holds a request with informational answers until the deadline.
+TEST_F(TargetAnswersFailure, SlowInformationalAnswersWithoutEndEndTheAttempt)
+{
+    for (const std::string status : { "100 Continue", "102 Processing", "103 Early Hints", "199 Unknown" }) {
+        std::atomic<int> sent { 0 };
+        const ScriptedServer server([&](Tcp::socket& socket, int) {
+            readRequest(socket);
+            SystemError ec;
+            for (; !ec && sent < 100; ++sent) {
+                asio::write(socket, asio::buffer("HTTP/1.1 " + status + "\r\n\r\n"), ec);
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+        });
+        EXPECT_EQ(send(server).failure, entry::AttemptProgress::Sent) << status;
+        EXPECT_LT(sent, 50) << status;
+    }
+}
+
 // Guards against memory that grows without limit while a target sends bytes without end.
 TEST_F(TargetAnswersFailure, EndlessAnswerEndsWithItsConnection)
 {
--- a/tests/node/target_fixture.hpp
+++ b/tests/node/target_fixture.hpp
@@ -61,6 +61,8 @@
         std::optional<AttemptResult> result;
         connections.send(makeAttempt(server), request, [&](AttemptResult it) { result = std::move(it); });
         EXPECT_TRUE(runUntil(context, [&] { return result.has_value(); }));
+        if (!result)
+            connections.cancel(attempt); // ends the script of a target that waits for the end of the connection
         return result ? std::move(*result) : AttemptResult {};
     }
 
