Take from answers how long work takes at a target now

The load of an answer may have a fourth figure, which says how long work takes at the target at this moment (100 is as usual). It was ignored.

It is now kept for 300 ms as a moving average, limited to 0.8 to 10 times the usual time. Target offers slowdown(), expectedWait() and expectedTime(); the choice does not use them yet. Figures that cannot be used are logged once for each start of a target, and the other figures stay in force.

The slow limit of the health checks counts a duration after division by that factor, by no more than 2, so that a target is not ejected for the slowness it reports and is still ejected from 8 times the typical duration. Targets that do not send the figure are judged as before.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -52,6 +52,7 @@
     std::uint32_t status = 0;
     bool deliverable = false; ///< the answer may be forwarded unchanged
     std::optional<LoadReport> load;
+    std::string unusableWorkTime; ///< what the answer says instead of \ref LoadReport::workTimePercent
     RateLimitStatement rateLimit;
     bool isLeaving = false; ///< the target is about to stop
     std::optional<Duration> pause; ///< time for which the target wants no request from this VM
--- a/include/arbutuscrank/entry/target_health.hpp
+++ b/include/arbutuscrank/entry/target_health.hpp
@@ -16,7 +16,8 @@
 };
 
 /// \brief Records the outcome of an attempt.
-/// \param relativeDuration duration divided by the typical duration of the route; 0 if unknown
+/// \param relativeDuration duration divided by the typical duration of the route; 0 if unknown. It is reduced by the
+/// slowdown that the target reports, to no less than half.
 /// \returns true if the target's ejection changed
 bool recordOutcome(Target& target, Outcome outcome, double relativeDuration, TimePoint now);
 
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -36,6 +36,26 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    std::optional<double> workTimePercent; ///< how long work takes there at this moment; 100 is as usual
+};
+
+/// \brief Greatest figure of \ref LoadReport::workTimePercent that is accepted.
+inline constexpr double maxWorkTimePercent = 100'000;
+
+/// \brief How much longer than usual work takes at a target, from the reports in its answers.
+struct WorkTime {
+    /// Age of the newest report from which it is disregarded. The figure changes many times a second.
+    static constexpr Duration maxAge = std::chrono::milliseconds(300);
+    /// Time constant of the moving average, no longer than the figure stays the same. An answer that follows another
+    /// one at once hardly changes the average; one that follows after the maximum age replaces it.
+    static constexpr Duration smoothingTime = std::chrono::milliseconds(50);
+    /// Limits of the result. All VMs see the same figures, so a target that looks fast must not attract the requests of
+    /// all of them; and a single report must not exclude a target.
+    static constexpr double minSlowdown = 0.8;
+    static constexpr double maxSlowdown = 10;
+
+    double slowdown = 1; ///< moving average, 1 is as usual; from \ref minSlowdown to \ref maxSlowdown
+    TimePoint reportedAt {}; ///< arrival of the newest report
 };
 
 /// \brief Greatest request rate that a target may name as its limit, in requests per second.
@@ -80,6 +100,8 @@
     std::uint32_t inFlight = 0; ///< in-flight attempts of this VM
     std::uint32_t othersLoad = 0; ///< requests of other VMs according to the target's last load report
     std::optional<TimePoint> loadReportedAt; ///< arrival of that load report
+    std::optional<WorkTime> workTime; ///< unset if no answer has reported it
+    bool hasUnusableWorkTime = false; ///< a report of it that cannot be used has been logged
     std::uint32_t othersInFlight = 0; ///< in-flight attempts of other VMs as last reported by them
     std::optional<TimePoint> coldUntil; ///< according to the store
     /// The target was unreachable, or other VMs report that it is cold
@@ -111,6 +133,19 @@
     [[nodiscard]] std::optional<double> rateLimit(TimePoint now) const noexcept;
     /// \brief Estimated number of requests that run or wait at the target.
     [[nodiscard]] double load(TimePoint now) const noexcept;
+    /// \brief How much longer than usual work takes at the target; 1 without a report younger than
+    /// \ref WorkTime::maxAge.
+    [[nodiscard]] double slowdown(TimePoint now) const noexcept;
+    /// \brief Estimated wait for a slot: the load per slot, times \ref slowdown.
+    /// \returns multiples of the usual duration of a request; 0 at an idle target, however slow it is
+    [[nodiscard]] double expectedWait(TimePoint now) const noexcept;
+    /// \brief Estimated time of one further request at the target, including its wait. Unlike \ref expectedWait, it
+    /// tells idle targets apart.
+    /// \returns multiples of the usual duration of a request, divided by the slots
+    [[nodiscard]] double expectedTime(TimePoint now) const noexcept;
+    /// \brief Records how long work takes at the target according to an answer.
+    /// \param percent above 0 and up to \ref maxWorkTimePercent
+    void recordWorkTime(double percent, TimePoint now) noexcept;
 };
 
 /// \brief Targets by ID, and the evacuated failure domains. Keeps targets for a while whose entries expired during an
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -214,6 +214,26 @@
         target.pausedUntil = std::max(target.pausedUntil.value_or(now), now + *event.pause);
     }
 
+    /// Records what an answer says of the target's load.
+    void recordLoad(Target& target, const AttemptAnswered& event, TimePoint now, Effects& out)
+    {
+        if (!event.load)
+            return;
+        const auto all = event.load->running + event.load->waiting;
+        // The load report includes the answered request and this VM's other attempts.
+        target.othersLoad = all > target.inFlight + 1 ? all - target.inFlight - 1 : 0;
+        target.loadReportedAt = now;
+        if (event.kind == AnswerKind::Misdirected)
+            return; // the answer comes from another target
+        if (event.load->workTimePercent)
+            target.recordWorkTime(*event.load->workTimePercent, now);
+        // Each answer of such a target would give a line.
+        if (!event.unusableWorkTime.empty() && !std::exchange(target.hasUnusableWorkTime, true))
+            out.push_back(WriteLog { LogEvent::AnswerValueRefused,
+                fmt::format("attempt={} target={} field=work-time limit=\"above 0, up to {}\" found=\"{}\"",
+                    event.attempt, target.record.id, maxWorkTimePercent, event.unusableWorkTime) });
+    }
+
     void recordDuration(EntryState& state, const Request& request, double durationSeconds)
     {
         auto& typicalSeconds = state.routeDurations[request.route].seconds;
@@ -335,12 +355,8 @@
     request.attempts.erase(event.attempt);
     const auto durationSeconds = seconds(now - attempt.sentAt);
     auto* target = releaseTarget(state, attempt);
-    if (target && event.load) {
-        const auto all = event.load->running + event.load->waiting;
-        // The load report includes the answered request and this VM's other attempts.
-        target->othersLoad = all > target->inFlight + 1 ? all - target->inFlight - 1 : 0;
-        target->loadReportedAt = now;
-    }
+    if (target)
+        recordLoad(*target, event, now, out);
     out.push_back(WriteLog { LogEvent::AttemptAnswered,
         fmt::format("request={} attempt={} target={} status={} taken_ms={:.0f}{}", request.callerRequestId,
             event.attempt, attempt.target, event.status, durationSeconds * 1000,
--- a/src/entry/target_health.cpp
+++ b/src/entry/target_health.cpp
@@ -24,6 +24,11 @@
     /// Upper limit of one attempt's relative duration, so that a single stall does not eject a target.
     constexpr double maxRelativeDuration = 8.0;
 
+    /// Part of a duration that a target's own report of slow work explains. Without it, such a target would get fewer
+    /// requests for its report and be ejected for what it reported. The limit for a target that reports twice the usual
+    /// time or more is 8 times the typical duration, above that of a cold target.
+    constexpr double maxExplainedSlowdown = 2.0;
+
     bool eject(Target& target, Ejection cause, TimePoint now)
     {
         const bool changed = target.ejection != cause;
@@ -49,6 +54,8 @@
 
 bool recordOutcome(Target& target, Outcome outcome, double relativeDuration, TimePoint now)
 {
+    // A target that reports fast work is held to the usual time.
+    relativeDuration /= std::clamp(target.slowdown(now), 1.0, maxExplainedSlowdown);
     const double failure = outcome == Outcome::Answered ? 0 : outcome == Outcome::Shed ? shedWeight : 1;
     target.failureShare += averageWeight * (failure - target.failureShare);
     if (relativeDuration > 0)
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutuscrank::entry {
 
@@ -35,6 +36,36 @@
     return own + static_cast<double>(reported ? othersLoad : othersInFlight);
 }
 
+double Target::slowdown(TimePoint now) const noexcept
+{
+    return workTime && now - workTime->reportedAt < WorkTime::maxAge ? workTime->slowdown : 1;
+}
+
+double Target::expectedWait(TimePoint now) const noexcept
+{
+    return load(now) / std::max(1U, record.slots) * slowdown(now);
+}
+
+double Target::expectedTime(TimePoint now) const noexcept
+{
+    return (load(now) + 1) / std::max(1U, record.slots) * slowdown(now);
+}
+
+void Target::recordWorkTime(double percent, TimePoint now) noexcept
+{
+    constexpr double usualPercent = 100;
+    const double reported = std::clamp(percent / usualPercent, WorkTime::minSlowdown, WorkTime::maxSlowdown);
+    if (!workTime || now - workTime->reportedAt >= WorkTime::maxAge) {
+        workTime = WorkTime { reported, now };
+        return;
+    }
+    using Seconds = std::chrono::duration<double>;
+    const auto elapsed = std::max<Duration>(Duration::zero(), now - workTime->reportedAt);
+    const double weight = 1 - std::exp(-(Seconds(elapsed) / Seconds(WorkTime::smoothingTime)));
+    workTime->slowdown += weight * (reported - workTime->slowdown);
+    workTime->reportedAt = now;
+}
+
 Duration Target::coldRemaining(TimePoint now) const noexcept
 {
     return std::max({ Duration::zero(), coldUntil.value_or(now) - now, suspectedColdUntil.value_or(now) - now });
@@ -58,6 +89,8 @@
         target.slowness = 1;
         target.sampleCount = 0;
         target.loadReportedAt.reset();
+        target.workTime.reset();
+        target.hasUnusableWorkTime = false;
         target.coldUntil.reset();
         target.suspectedColdUntil.reset();
         target.isLeaving = false;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -85,6 +85,7 @@
             .attempt = attempt,
             .status = status,
             .load = result.load,
+            .unusableWorkTime = result.unusableWorkTime.substr(0, maxLoggedValueBytes),
             .rateLimit = result.rateLimit,
             .isLeaving = result.isLeaving,
             .pause = result.pause };
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -55,26 +55,44 @@
         return fmt::format("answer: status \"{}\" cannot be read, allowed are three digits and a space", text);
     }
 
-    std::optional<entry::LoadReport> parseLoad(std::string_view text)
+    std::optional<double> parseNumber(std::string_view text)
+    {
+        double value = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+        const bool isNumber = !text.empty() && ec == std::errc() && end == text.data() + text.size();
+        return isNumber ? std::optional(value) : std::nullopt;
+    }
+
+    /// Reads the fourth figure of a load, which may be missing. One that cannot be used leaves the others in force.
+    void parseWorkTime(std::string_view text, AttemptResult& result)
+    {
+        const auto start = std::min(text.find_first_not_of(" \t"), text.size());
+        const auto value = text.substr(start, text.find_first_of(", \t", start) - start);
+        const auto percent = parseNumber(value);
+        // The comparison also rejects NaN.
+        if (percent && *percent > 0 && *percent <= entry::maxWorkTimePercent)
+            result.load->workTimePercent = percent;
+        else
+            result.unusableWorkTime = value.empty() ? "nothing" : value;
+    }
+
+    /// Reads "running,waiting,slots" or "running,waiting,slots,work time in percent of the usual one".
+    void parseLoad(std::string_view text, AttemptResult& result)
     {
         std::array<std::uint32_t, 3> values {};
         const char* it = text.data();
         const char* const end = it + text.size();
+        bool hasMore = false;
         for (auto& value : values) {
             const auto [next, ec] = std::from_chars(it, end, value);
             if (ec != std::errc())
-                return std::nullopt;
-            it = next < end && *next == ',' ? next + 1 : next;
+                return;
+            hasMore = next < end && *next == ',';
+            it = hasMore ? next + 1 : next;
         }
-        return entry::LoadReport { values[0], values[1], values[2] };
-    }
-
-    std::optional<double> parseNumber(std::string_view text)
-    {
-        double value = 0;
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-        const bool isNumber = !text.empty() && ec == std::errc() && end == text.data() + text.size();
-        return isNumber ? std::optional(value) : std::nullopt;
+        result.load = entry::LoadReport { values[0], values[1], values[2], {} };
+        if (hasMore)
+            parseWorkTime({ it, end }, result);
     }
 
     /// Reads the pause that a refusal asks for, in seconds. Longer ones than \ref maxPause are cut.
@@ -275,7 +293,7 @@
     result.notRun = result.answer.count(names.notRun) != 0;
     result.hasSignature = result.answer.count(names.signature) != 0;
     if (const auto it = result.answer.find(names.load); it != result.answer.end())
-        result.load = parseLoad({ it->value().data(), it->value().size() });
+        parseLoad({ it->value().data(), it->value().size() }, result);
     result.rateLimit = parseRateLimit(result.answer, names.rateLimit);
     if (result.rateLimit.kind == entry::RateLimitStatement::Kind::Unreadable)
         result.refusedValues[names.rateLimit] = std::string(result.answer[names.rateLimit]);
--- a/src/node/target_connections.hpp
+++ b/src/node/target_connections.hpp
@@ -24,6 +24,7 @@
     bool notRun = false; ///< the target reports that it did not run the request
     bool hasSignature = false; ///< the answer has the signature header; the signature is not verified
     std::optional<entry::LoadReport> load;
+    std::string unusableWorkTime; ///< fourth figure of the load, if it cannot be used
     entry::RateLimitStatement rateLimit;
     bool isLeaving = false; ///< the target is about to stop
     std::optional<Duration> pause; ///< time for which a target that refused the request wants none from this VM
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -158,6 +158,33 @@
     }
 }
 
+// Guards against a choice of targets by a figure without sense, and against a load that is lost because of one.
+TEST_F(TargetAnswersFailure, UnusableWorkTimesAreRefused)
+{
+    struct Case {
+        std::string text;
+        std::optional<double> percent;
+        std::string unusable;
+    };
+    const std::vector<Case> cases { { "2,1,4", std::nullopt, "" }, { "2,1,4,250", 250, "" }, { "2,1,4, 250 ", 250, "" },
+        { "2,1,4,80.5,9", 80.5, "" }, { "2,1,4,100000", 100'000, "" }, { "2,1,4,0", std::nullopt, "0" },
+        { "2,1,4,-5", std::nullopt, "-5" }, { "2,1,4,nan", std::nullopt, "nan" }, { "2,1,4,inf", std::nullopt, "inf" },
+        { "2,1,4,1e999", std::nullopt, "1e999" }, { "2,1,4,100001", std::nullopt, "100001" },
+        { "2,1,4,fast", std::nullopt, "fast" }, { "2,1,4,", std::nullopt, "nothing" },
+        { "2,1,4,,7", std::nullopt, "nothing" } };
+    for (const auto& it : cases) {
+        const ScriptedServer server([&](Tcp::socket& socket, int) {
+            readRequest(socket);
+            writeText(socket, answer("r1", "own", "Load: " + it.text + "\r\n"));
+        });
+        const auto result = send(server);
+        ASSERT_TRUE(result.load) << it.text;
+        EXPECT_EQ(result.load->running, 2U) << it.text;
+        EXPECT_EQ(result.load->workTimePercent, it.percent) << it.text;
+        EXPECT_EQ(result.unusableWorkTime, it.unusable) << it.text;
+    }
+}
+
 // Guards against an answer that names no request and that is passed on for a request to which it doesn't belong.
 TEST_F(TargetAnswersFailure, AnswerWithoutAnIdOnAKeptConnectionIsNotPassedOn)
 {
