Check a document before it is sent

The command "check" lists errors, entries that can never take effect, limits that contradict each other, and the differences to the document in force, as text or JSON. It needs no daemon.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,5 +1,7 @@
 #include "cli/command_line.hpp"
 
+#include "cli/check_command.hpp"
+
 #include <arbutuscrank/config.hpp>
 #include <arbutuscrank/store/http_client.hpp>
 
@@ -26,6 +28,7 @@
 
 Usage:
   arbutuscrank validate FILE
+  arbutuscrank check FILE [--in-force=OLD] [--json] [--strict]
   arbutuscrank digest KEY
   arbutuscrank [options] show
   arbutuscrank [options] diff FILE
@@ -41,6 +44,8 @@
 
 Commands:
   validate   Check a configuration document and list its faults; needs no daemon.
+  check      Check a configuration document and list errors, entries that can never take effect, limits that contradict
+             each other, and the differences to the document in force; needs no daemon.
   digest     Print the SHA-256 digest of a key for a configuration document; needs no daemon.
   show       Print the configuration document and its version.
   diff       List the differences between the current document and FILE.
@@ -58,6 +63,7 @@
 
 Exit status: 0 success; 1 the document is not valid, the daemon refused the request, or the withdrawal is not proven;
 2 the command line is invalid or FILE cannot be read; 3 no response, so a change may or may not have taken effect.
+Of check: 0 no errors; 1 warnings, with --strict; 2 errors, or as above.
 
 Options:
   --help               Print this help and exit.
@@ -65,6 +71,9 @@
   --admin-key=KEY      Admin key of the daemon; environment variable ARBUTUSCRANK_ADMIN_KEY.
   --based-on=VERSION   Version that the change replaces; refused if it is not current. By default, the current version.
   --change-id=ID       Identifier of the change; repeating a change with the same identifier has no further effect.
+  --in-force=OLD       File with the document in force, or with the output of show.
+  --json               Print the result of the check as JSON.
+  --strict             Exit with 1 if the check has warnings and no errors.
   --undo               Cancel the drain or shift.
   --service=S          Service whose traffic is shifted.
   --from=R             Region that the traffic is shifted from.
@@ -274,6 +283,29 @@
         return ExitCode::Success;
     }
 
+    ExitCode checkFile(const Arguments& arguments, std::ostream& out, std::ostream& err)
+    {
+        const auto readOrReport = [&err](const std::string& name) {
+            auto text = readFile(name);
+            if (!text)
+                err << "arbutuscrank: cannot read file " << name << '\n';
+            return text;
+        };
+        const auto inForceName = argumentOrEnvironment(arguments, "--in-force");
+        if (inForceName == "-" && arguments.at("FILE").asString() == "-") {
+            err << "arbutuscrank: --in-force: expected a file if FILE is -, found -\n";
+            return ExitCode::UsageError;
+        }
+        const auto text = readOrReport(arguments.at("FILE").asString());
+        if (!text)
+            return ExitCode::UsageError;
+        std::optional<std::string> inForce;
+        if (!inForceName.empty() && !(inForce = readOrReport(inForceName)))
+            return ExitCode::UsageError;
+        const CheckOptions options { isSet(arguments, "--json"), isSet(arguments, "--strict") };
+        return checkDocuments(*text, inForce, options, out);
+    }
+
 } // namespace
 
 ExitCode runCommand(std::span<const std::string> arguments, std::ostream& out, std::ostream& err)
@@ -290,6 +322,8 @@
     }
     if (isSet(parsed, "validate"))
         return validateFile(parsed.at("FILE").asString(), out, err);
+    if (isSet(parsed, "check"))
+        return checkFile(parsed, out, err);
     if (isSet(parsed, "digest")) {
         out << sha256Hex(parsed.at("KEY").asString()) << '\n';
         return ExitCode::Success;
--- a/src/cli/command_line.hpp
+++ b/src/cli/command_line.hpp
@@ -14,6 +14,8 @@
     Success = 0,
     Refused = 1, ///< the document is not valid, the daemon refused the request, or a withdrawal is not yet proven
     UsageError = 2, ///< the command line is invalid or a file cannot be read
+    CheckWarnings = Refused, ///< a strict check found warnings
+    CheckErrors = UsageError, ///< a check found errors
     Unreachable = 3, ///< no response, or the daemon reported a timeout (504); a change may or may not have taken effect
 };
 
