--- a/include/arbutuscrank/config/advice.hpp
+++ b/include/arbutuscrank/config/advice.hpp
@@ -15,8 +15,8 @@
 /// The document has neither durations of requests nor latency objectives, so that quotas are not compared with what
 /// targets can run.
 /// \param document a valid document
-/// \returns the findings, with the value that would have an effect as limit; empty if there are none. Paths have names in
-/// place of indexes, as in \ref Difference, because parsing sorts the lists.
+/// \returns the findings, with the value that would have an effect as limit; empty if there are none. Paths have names
+/// in place of indexes, as in \ref Difference, because parsing sorts the lists.
 [[nodiscard]] std::vector<Fault> advise(const Document& document);
 
 } // namespace arbutuscrank
--- a/src/cli/check_command.cpp
+++ b/src/cli/check_command.cpp
@@ -1,7 +1,6 @@
 #include "cli/check_command.hpp"
 
 #include <arbutuscrank/config.hpp>
-#include <arbutuscrank/config/advice.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/tests/config/advice_test.cpp
+++ b/tests/config/advice_test.cpp
@@ -34,7 +34,7 @@
     CheckCommand() { std::filesystem::create_directories(directory); }
     ~CheckCommand() override { std::filesystem::remove_all(directory); }
 
-    std::string write(const std::string& name, const std::string& text) const
+    [[nodiscard]] std::string write(const std::string& name, const std::string& text) const
     {
         const auto path = directory / name;
         std::ofstream(path) << text;
--- a/tests/node/target_answers_failure_test.cpp
+++ b/tests/node/target_answers_failure_test.cpp
@@ -21,9 +21,10 @@
                 for (const std::string body : { "own", "" }) { // with the whole body, and without any of it
                     const ScriptedServer server([&](Tcp::socket& socket, int) {
                         readRequest(socket);
-                        writeText(socket,
-                            "HTTP/1.1 " + status
-                                + " OK\r\nId: r1\r\nSignature: s\r\nNot-Run: 1\r\nContent-Length: 3\r\n\r\n" + body);
+                        std::string text = "HTTP/1.1 " + status;
+                        text += " OK\r\nId: r1\r\nSignature: s\r\nNot-Run: 1\r\nContent-Length: 3\r\n\r\n";
+                        text += body;
+                        writeText(socket, text);
                         readRequest(socket);
                     });
                     const auto result = send(server);
