--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -2,6 +2,8 @@
 
 #include "node/clock.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -22,19 +24,35 @@
     constexpr Duration maxPause = std::chrono::minutes(10);
     /// Lower statuses are informational: the final answer follows.
     constexpr unsigned firstFinalStatus = 200;
+    /// HTTP defines the statuses from 100 to 599. Beast's parser takes any three digits.
+    constexpr unsigned firstDefinedStatus = 100;
+    constexpr unsigned lastDefinedStatus = 599;
+    /// Part of a status that is no number of three digits, for the log.
+    constexpr std::size_t maxLoggedStatusBytes = 16;
 
-    std::optional<entry::LoadReport> parseLoad(std::string_view text)
+    /// Describes why a target may not answer with this status, either finally or before its final answer.
+    /// \returns an empty text if it may
+    std::string describeRefusedStatus(unsigned status)
     {
-        std::array<std::uint32_t, 3> values {};
-        const char* it = text.data();
-        const char* const end = it + text.size();
-        for (auto& value : values) {
-            const auto [next, ec] = std::from_chars(it, end, value);
-            if (ec != std::errc())
-                return std::nullopt;
-            it = next < end && *next == ',' ? next + 1 : next;
-        }
-        return entry::LoadReport { values[0], values[1], values[2] };
+        if (status < firstDefinedStatus || status > lastDefinedStatus)
+            return fmt::format("answer: status {:03} is not defined, allowed are {} to {}", status, firstDefinedStatus,
+                lastDefinedStatus);
+        // Requests are sent without an Upgrade field.
+        if (status == static_cast<unsigned>(http::status::switching_protocols))
+            return fmt::format("answer: status {} although no other protocol was asked for", status);
+        return {};
+    }
+
+    /// Reads the status from the bytes of an answer whose status line cannot be parsed.
+    std::string describeUnreadableStatus(std::string_view bytes)
+    {
+        const auto line = bytes.substr(0, bytes.find_first_of("\r\n"));
+        const auto start = std::min(line.find(' '), line.size());
+        const auto word = line.substr(std::min(start + 1, line.size()));
+        std::string text(word.substr(0, std::min(word.find(' '), maxLoggedStatusBytes)));
+        std::ranges::replace_if(
+            text, [](char c) { return c < ' ' || c > '~' || c == '"'; }, '?');
+        return fmt::format("answer: status \"{}\" cannot be read, allowed are three digits and a space", text);
     }
 
     std::optional<double> parseNumber(std::string_view text)
@@ -45,6 +63,38 @@
         return isNumber ? std::optional(value) : std::nullopt;
     }
 
+    /// Reads the fourth figure of a load, which may be missing. One that cannot be used leaves the others in force.
+    void parseWorkTime(std::string_view text, AttemptResult& result)
+    {
+        const auto start = std::min(text.find_first_not_of(" \t"), text.size());
+        const auto value = text.substr(start, text.find_first_of(", \t", start) - start);
+        const auto percent = parseNumber(value);
+        // The comparison also rejects NaN.
+        if (percent && *percent > 0 && *percent <= entry::maxWorkTimePercent)
+            result.load->workTimePercent = percent;
+        else
+            result.unusableWorkTime = value.empty() ? "nothing" : value;
+    }
+
+    /// Reads "running,waiting,slots" or "running,waiting,slots,work time in percent of the usual one".
+    void parseLoad(std::string_view text, AttemptResult& result)
+    {
+        std::array<std::uint32_t, 3> values {};
+        const char* it = text.data();
+        const char* const end = it + text.size();
+        bool hasMore = false;
+        for (auto& value : values) {
+            const auto [next, ec] = std::from_chars(it, end, value);
+            if (ec != std::errc())
+                return;
+            hasMore = next < end && *next == ',';
+            it = hasMore ? next + 1 : next;
+        }
+        result.load = entry::LoadReport { values[0], values[1], values[2], {} };
+        if (hasMore)
+            parseWorkTime({ it, end }, result);
+    }
+
     /// Reads the pause that a refusal asks for, in seconds. Longer ones than \ref maxPause are cut.
     std::optional<Duration> parsePause(std::string_view text)
     {
@@ -166,9 +216,20 @@
         if (self->m_hasEnded)
             return;
         if (ec) {
-            self->fail(entry::AttemptProgress::Sent, "answer: " + ec.message());
+            const auto unread = self->m_buffer.data();
+            self->fail(entry::AttemptProgress::Sent,
+                ec == http::error::bad_status
+                    ? describeUnreadableStatus({ static_cast<const char*>(unread.data()), unread.size() })
+                    : "answer: " + ec.message());
             return;
         }
+        // The rest of such an answer, which may never come, is not waited for.
+        if (self->m_parser->is_header_done()) {
+            if (auto detail = describeRefusedStatus(self->m_parser->get().result_int()); !detail.empty()) {
+                self->fail(entry::AttemptProgress::Sent, std::move(detail));
+                return;
+            }
+        }
         self->countAnswerMemory();
         if (self->m_hasEnded)
             return;
@@ -232,7 +293,7 @@
     result.notRun = result.answer.count(names.notRun) != 0;
     result.hasSignature = result.answer.count(names.signature) != 0;
     if (const auto it = result.answer.find(names.load); it != result.answer.end())
-        result.load = parseLoad({ it->value().data(), it->value().size() });
+        parseLoad({ it->value().data(), it->value().size() }, result);
     result.rateLimit = parseRateLimit(result.answer, names.rateLimit);
     if (result.rateLimit.kind == entry::RateLimitStatement::Kind::Unreadable)
         result.refusedValues[names.rateLimit] = std::string(result.answer[names.rateLimit]);
