Keep what was acted on when the store returns from an older copy

The store may come back from a copy some seconds old, with revisions that are given out again. Its era rises each time. Each VM learns the era from the store's answers, feeds and reports, lists all collections anew, drops answers of earlier eras and writes of theirs, and for some seconds concludes nothing from what the copy lacks.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -83,6 +83,7 @@
     StoreCallFailed = 904,
     StoreSourceChanged = 905,
     StoreWatchRepeated = 906,
+    StoreEraRisen = 907,
 };
 
 /// \brief Name of a log event, as in docs/log-events.md.
--- a/include/arbutuscrank/core/types.hpp
+++ b/include/arbutuscrank/core/types.hpp
@@ -49,6 +49,10 @@
 /// \brief Version that the platform's store assigns to an object. 0 means that the object does not exist.
 using ObjectVersion = std::uint64_t;
 
+/// \brief Rises each time the platform's store comes back from an older copy of its data. Revisions of different eras
+/// cannot be compared. 0 means that the era is not known.
+using StoreEra = std::uint64_t;
+
 /// \brief One incarnation of the daemon on one VM.
 struct ProcessId {
     VmId vm;
--- a/include/arbutuscrank/entry/effects.hpp
+++ b/include/arbutuscrank/entry/effects.hpp
@@ -102,6 +102,12 @@
 /// answered.
 struct RepeatPolicyRead { };
 
+/// \brief Abandons all reads and writes of the store that were begun in an earlier era, and lists all collections anew if
+/// any was read. Answers of earlier eras are ignored from now on.
+struct RestartStoreCalls {
+    StoreEra era = 0;
+};
+
 /// \brief Writes a log line.
 struct WriteLog {
     LogEvent event {};
@@ -110,6 +116,6 @@
 
 using EntryEffect = std::variant<SendAttempt, CancelAttempt, DeliverAnswer, SendLocalAnswer, SetExpiryTimer,
     SetHedgeTimer, SetAdmissionTimer, CloseIdleConnections, SendMessage, RemoveRegistration, RecordEvacuation,
-    RemoveEvacuationRecord, RepeatPolicyRead, WriteLog>;
+    RemoveEvacuationRecord, RepeatPolicyRead, RestartStoreCalls, WriteLog>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/evacuation_records.hpp
+++ b/include/arbutuscrank/entry/evacuation_records.hpp
@@ -21,6 +21,9 @@
     static constexpr Duration requestInterval = std::chrono::seconds(2);
 
     std::set<std::string> failureDomains; ///< failure domains with a record in the store
+    /// Failure domains that had a record in the store's earlier era. One that the store has lost is written again while
+    /// targets may be cold.
+    std::set<std::string> ofEarlierEra;
     /// End of the evacuation of each failure domain with a record that is no longer evacuated. A VM that has not seen
     /// the end uses the time at which it learned of the record.
     std::map<std::string, TimePoint> endedAt;
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -138,6 +138,11 @@
     std::string vm;
 };
 
+/// \brief An answer of the store, or of a feed, was of a greater era than any before.
+struct StoreEraRead {
+    StoreEra era = 0;
+};
+
 /// \brief A call to the store failed or timed out.
 struct StoreFailed { };
 /// \brief A read of another VM's feed failed.
@@ -175,8 +180,8 @@
 
 using EntryEvent = std::variant<RequestArrived, CallerDisconnected, AttemptAnswered, AttemptFailed, RequestExpired,
     AdmissionTimedOut, HedgeDue, PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved,
-    EvacuationsChanged, EvacuationRecordsChanged, MembersListed, MemberChanged, MemberRemoved, StoreFailed, FeedFailed,
-    StoreAnswered, VmReportReceived, DomainReportReceived, DigestReceived, AdmissionRequestReceived,
+    EvacuationsChanged, EvacuationRecordsChanged, MembersListed, MemberChanged, MemberRemoved, StoreEraRead,
+    StoreFailed, FeedFailed, StoreAnswered, VmReportReceived, DomainReportReceived, DigestReceived, AdmissionRequestReceived,
     AdmissionDecisionReceived, TokenReturnReceived, Tick, StopRequested>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -46,8 +46,12 @@
 /// \brief Evacuated failure domains as of a revision of the store. VMs that cannot read the store adopt newer readings
 /// of others.
 struct EvacuationReading {
-    std::uint64_t revision = 0; ///< 0 if the store has not been read
+    std::uint64_t revision = 0; ///< 0 if the store has not been read in this era
     std::set<std::string> failureDomains;
+    StoreEra era = 0; ///< of the store; a greater one is newer whatever the revisions
+    /// In messages: evacuations of an earlier era that the store's older copy may lack, and the time for which they are
+    /// still held
+    std::map<std::string, Duration> held;
 };
 
 /// \brief Availability of a VM to callers.
--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -34,6 +34,7 @@
     std::optional<TimePoint> lastSeenAt; ///< newest report, received by this VM or relayed by a coordinator
     TimePoint registrationReadAt {}; ///< when this process first read the registration
     std::optional<TimePoint> removalRequestedAt; ///< when the removal of the registration was last requested
+    bool isMissing = false; ///< the newest list of registrations lacks it, but may come from an older copy of the store
 };
 
 /// \brief The other VMs of the fleet.
@@ -53,7 +54,10 @@
     void applyRecord(const MemberRecord& record, TimePoint now);
     void applyRemoval(std::string_view vm);
     /// \brief Replaces all registrations. VMs that are not in the list are removed.
-    void applySnapshot(const std::vector<MemberRecord>& records, TimePoint now);
+    /// \param keepsMissing whether they are kept until \ref removeMissing, because the list may come from an older copy
+    void applySnapshot(const std::vector<MemberRecord>& records, TimePoint now, bool keepsMissing = false);
+    /// \brief Removes the VMs that the newest list lacked and that have not registered since. \returns their names
+    std::vector<VmId> removeMissing();
 
     /// \brief Stores a report.
     /// \returns false if the report is outdated or its sender is not registered
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -8,6 +8,7 @@
 #include <arbutuscrank/entry/quota_sharing.hpp>
 #include <arbutuscrank/entry/retry_limit.hpp>
 #include <arbutuscrank/entry/settings.hpp>
+#include <arbutuscrank/entry/store_era.hpp>
 #include <arbutuscrank/entry/store_source.hpp>
 #include <arbutuscrank/entry/target_selection.hpp>
 
@@ -107,6 +108,7 @@
     InFlightCounts reportedInFlight; ///< this VM's in-flight attempts as of its last report
     std::optional<TimePoint> lastTickAt;
     StoreSource storeSource;
+    StoreEraTracking storeEra;
     bool isStoreUnavailable = false;
     std::optional<TimePoint> storeAnsweredAt; ///< newest answer of the store, also through a feed
     std::optional<TimePoint> storeContactAt; ///< newest answer of the store to a call of this VM itself
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -100,6 +100,8 @@
     bool isTrialInFlight = false;
     /// Missing from the store; removed after \ref TargetTable::removalGrace unless its entry returns
     bool isAwaitingRemoval = false;
+    /// It was draining or removed in an earlier era of the store, whose older copy says that it is ready
+    bool isDrainHeld = false;
 
     /// \brief Short identifier of the target in reports between VMs.
     [[nodiscard]] std::uint32_t reportKey() const noexcept { return static_cast<std::uint32_t>(hash); }
@@ -114,7 +116,7 @@
 };
 
 /// \brief Targets by ID, and the evacuated failure domains. Keeps targets for a while whose entries expired during an
-/// outage of the store.
+/// outage of the store, or are missing in the older copy from which it came back.
 class TargetTable {
 public:
     /// Time after the end of a store outage within which live targets restore their expired entries.
@@ -141,6 +143,11 @@
     /// \brief Records a successful call to the store.
     void recordStoreSuccess(TimePoint now) noexcept;
 
+    /// \brief Records that the store has come back from an older copy. Until \ref removalGrace is over, missing targets
+    /// are kept. Until \ref StoreEraTracking::grace is over, targets that were draining or removed before get no new
+    /// request unless they start again, and entries of earlier starts are ignored.
+    void recordStoreEraRise(TimePoint now);
+
     /// \brief Records that other VMs have reached the store since \p since. The outage therefore ended then, and
     /// entries that are still missing after the grace belong to removed targets.
     void recordStoreUpElsewhere(TimePoint since) noexcept;
@@ -154,7 +161,8 @@
     [[nodiscard]] std::map<std::string, Target, std::less<>>& all() noexcept { return m_targets; }
     [[nodiscard]] const std::map<std::string, Target, std::less<>>& all() const noexcept { return m_targets; }
 
-    /// \brief Whether a target may receive new requests: it is not draining, leaving or evacuated.
+    /// \brief Whether a target may receive new requests: it is not draining, leaving or evacuated, and did not leave in
+    /// an earlier era of the store.
     [[nodiscard]] bool isInService(const Target& target) const noexcept;
 
     /// \brief Sets whether targets may be cold without this VM's knowledge. Each is then treated as cold.
@@ -172,7 +180,22 @@
     [[nodiscard]] bool isLoaded() const noexcept { return m_isLoaded; }
 
 private:
+    /// A target that was removed.
+    struct Departure {
+        std::uint64_t startedAtMs = 0;
+        std::string address;
+        TimePoint at {};
+    };
+    /// Time for which removed targets are remembered. The store's copy is some seconds old; each second adds to it the
+    /// time for which the store was away and until this VM learns of the new era.
+    static constexpr Duration departureMemory = std::chrono::seconds(30);
+
     void setRecord(Target& target, const TargetRecord& record, TimePoint now);
+    /// Whether a record of the store's older copy names a target as ready that is known to drain or to be removed.
+    [[nodiscard]] bool isDrainHeld(const Target& target, const TargetRecord& record, TimePoint now) const;
+    [[nodiscard]] bool mayBeMissing(TimePoint now) const noexcept;
+    [[nodiscard]] bool isInEraGrace(TimePoint now) const noexcept;
+    void eraseTarget(const Target& target, TimePoint now);
 
     std::map<std::string, Target, std::less<>> m_targets;
     std::set<std::string> m_evacuated;
@@ -180,6 +203,8 @@
     bool m_isStoreUnavailable = false;
     bool m_isColdnessUnknown = false;
     std::optional<TimePoint> m_outageEndedAt;
+    std::optional<TimePoint> m_eraRisenAt;
+    std::map<std::string, Departure, std::less<>> m_departures; ///< by ID
 };
 
 } // namespace arbutuscrank::entry
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -133,6 +133,8 @@
         return "store-source-changed";
     case LogEvent::StoreWatchRepeated:
         return "store-watch-repeated";
+    case LogEvent::StoreEraRisen:
+        return "store-era-risen";
     }
     return "unknown";
 }
--- a/src/entry/evacuation_records.cpp
+++ b/src/entry/evacuation_records.cpp
@@ -33,9 +33,11 @@
 void applyEvacuationRecords(EntryState& state, TimePoint now, Effects& out)
 {
     auto& records = state.evacuationRecords;
-    const auto& evacuated = state.evacuations.failureDomains;
+    const auto& evacuated = state.targets.evacuated();
     std::erase_if(records.endedAt, [&](const auto& item) {
-        return !records.failureDomains.contains(item.first) || evacuated.contains(item.first);
+        const bool isRecorded
+            = records.failureDomains.contains(item.first) || records.ofEarlierEra.contains(item.first);
+        return !isRecorded || evacuated.contains(item.first);
     });
     // Without the list of evacuations and the configuration, it is not known whether an evacuation has ended and how
     // long its targets stay cold.
@@ -66,14 +68,26 @@
 void maintainEvacuationRecords(EntryState& state, TimePoint now, Effects& out)
 {
     auto& records = state.evacuationRecords;
+    std::erase_if(records.ofEarlierEra, [&](const auto& failureDomain) {
+        const auto ended = records.endedAt.find(failureDomain);
+        const bool mayBeCold = ended != records.endedAt.end()
+            && now < ended->second + longestColdTime(state.policy.policy());
+        return !mayBeCold && !state.storeEra.isInGrace(now) && !state.targets.evacuated().contains(failureDomain);
+    });
     if (!state.hasMemberList || !coordinatesFleet(state, now))
         return;
-    for (const auto& failureDomain : state.evacuations.failureDomains) {
+    const auto coldTime = longestColdTime(state.policy.policy());
+    auto missing = state.targets.evacuated();
+    for (const auto& failureDomain : records.ofEarlierEra) {
+        const auto ended = records.endedAt.find(failureDomain);
+        if (ended != records.endedAt.end() && now < ended->second + coldTime)
+            missing.insert(failureDomain);
+    }
+    for (const auto& failureDomain : missing) {
         if (!records.failureDomains.contains(failureDomain)
             && claimRequest(records.additionRequestedAt, failureDomain, now))
             out.push_back(RecordEvacuation { failureDomain });
     }
-    const auto coldTime = longestColdTime(state.policy.policy());
     for (const auto& [failureDomain, endedAt] : records.endedAt) {
         if (now >= endedAt + coldTime && claimRequest(records.removalRequestedAt, failureDomain, now))
             out.push_back(RemoveEvacuationRecord { failureDomain });
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -48,6 +48,7 @@
     if (isNew)
         member.registrationReadAt = now;
     member.record = record;
+    member.isMissing = false;
     return changesRegions;
 }
 
@@ -75,12 +76,15 @@
         updateRegions();
 }
 
-void MemberTable::applySnapshot(const std::vector<MemberRecord>& records, TimePoint now)
+void MemberTable::applySnapshot(const std::vector<MemberRecord>& records, TimePoint now, bool keepsMissing)
 {
     std::set<std::string_view> listed;
     for (const auto& record : records)
         listed.insert(record.process.vm);
-    bool changesRegions = std::erase_if(m_members, [&](const auto& item) { return !listed.contains(item.first); }) != 0;
+    for (auto& [vm, member] : m_members)
+        member.isMissing = !listed.contains(vm);
+    bool changesRegions
+        = !keepsMissing && std::erase_if(m_members, [](const auto& item) { return item.second.isMissing; }) != 0;
     for (const auto& record : records) {
         if (storeRecord(record, now))
             changesRegions = true;
@@ -89,6 +93,20 @@
         updateRegions();
 }
 
+std::vector<VmId> MemberTable::removeMissing()
+{
+    std::vector<VmId> removed;
+    for (const auto& [vm, member] : m_members) {
+        if (member.isMissing)
+            removed.push_back(vm);
+    }
+    for (const auto& vm : removed)
+        m_members.erase(vm);
+    if (!removed.empty())
+        updateRegions();
+    return removed;
+}
+
 bool MemberTable::applyReport(const VmReport& report, TimePoint now)
 {
     const auto it = m_members.find(report.process.vm);
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -289,7 +289,7 @@
             .inFlight = ownInFlight(state),
             .coldTargets = ownColdTimes(state, now),
             .namedRates = ownNamedRates(state, now),
-            .evacuations = state.evacuations,
+            .evacuations = evacuationsToReport(state, now),
         };
         for (const auto& [name, domain] : state.domainReports.all()) {
             if (DomainReportTable::isFresh(domain, now))
@@ -419,7 +419,7 @@
             .inFlight = state.reportedInFlight,
             .coldTargets = ownColdTimes(state, now),
             .namedRates = ownNamedRates(state, now),
-            .evacuations = state.evacuations,
+            .evacuations = evacuationsToReport(state, now),
         };
         state.lastReportAt = now;
         auto addresses = addressesOf(state, { state.coordination.followedCoordinator() });
@@ -689,6 +689,7 @@
     updateOthersInFlight(state, now);
     state.selection.updateSplits(state.targets, demandByService(state, now), now);
     updateColdnessKnowledge(state, now, out);
+    releaseEarlierEra(state, now, out);
     updateRateShares(state.targets, state.policy, state.members, now);
     for (const auto& id : state.targets.removeExpired(now))
         out.push_back(WriteLog { LogEvent::TargetDrained, fmt::format("target={} cause=lapsed", id) });
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -126,36 +126,6 @@
         stopUsingTarget(event.id, "removed", event.revision, out);
 }
 
-void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out)
-{
-    if (reading.revision < state.evacuations.revision)
-        return;
-    const auto before = std::exchange(state.evacuations, reading).failureDomains;
-    const auto& evacuated = reading.failureDomains;
-    if (evacuated == before) {
-        applyEvacuationRecords(state, now, out); // this may be the first reading
-        return;
-    }
-    bool haveTurnedCold = false;
-    for (auto& [id, target] : state.targets.all()) {
-        const auto& domain = target.record.failureDomain;
-        const auto* service = state.policy.findService(target.record.service);
-        // Targets may be cold when the evacuation of their failure domain ends, before the store reports it.
-        if (!service || !before.contains(domain) || evacuated.contains(domain))
-            continue;
-        const bool wasCold = target.isCold(now);
-        target.coldUntil = std::max(target.coldUntil.value_or(now), now + service->coldTime);
-        haveTurnedCold = logIfTurnedCold(target, wasCold, "evacuation", now, out) || haveTurnedCold;
-    }
-    state.targets.setEvacuated(evacuated);
-    updateRateShares(state.targets, state.policy, state.members, now);
-    out.push_back(WriteLog { LogEvent::EvacuationApplied,
-        fmt::format("failure_domains=\"{}\" revision={}", fmt::join(evacuated, ","), reading.revision) });
-    if (haveTurnedCold)
-        sendEarlyReports(state, now, out);
-    applyEvacuationRecords(state, now, out);
-}
-
 void apply(EntryState& state, const EvacuationsChanged& event, TimePoint now, Effects& out)
 {
     adoptEvacuations(state, event.reading, now, out);
@@ -163,7 +133,7 @@
 
 void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects& out)
 {
-    state.members.applySnapshot(event.records, now);
+    state.members.applySnapshot(event.records, now, state.storeEra.isInGrace(now));
     state.hasMemberList = true;
     state.retryLimit.setFleetSize(state.members.fleetSize());
     updateCoordination(state, now, out);
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -27,6 +27,7 @@
 void apply(EntryState& state, const MemberChanged& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const MemberRemoved& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const FeedFailed& event, TimePoint now, Effects& out);
+void apply(EntryState& state, const StoreEraRead& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StoreFailed& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const StoreAnswered& event, TimePoint now, Effects& out);
 void apply(EntryState& state, const VmReportReceived& event, TimePoint now, Effects& out);
@@ -52,6 +53,20 @@
 /// \brief Applies a reading of the evacuated failure domains unless a newer one has been applied.
 void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out);
 
+/// \brief Stops requests to the targets of evacuated failure domains: those that were read, and those that are held from
+/// an earlier era of the store. Targets of others that were evacuated before turn cold.
+/// \returns whether the set has changed
+bool updateEvacuated(EntryState& state, TimePoint now, Effects& out);
+
+/// \brief The newest reading, with the evacuations held from an earlier era, for messages to other VMs.
+[[nodiscard]] EvacuationReading evacuationsToReport(const EntryState& state, TimePoint now);
+
+/// \brief Applies a rise of the store's era. The first era that becomes known is not a rise.
+void raiseStoreEra(EntryState& state, StoreEra era, TimePoint now, Effects& out);
+
+/// \brief Gives up what was kept from an earlier era once its time is over.
+void releaseEarlierEra(EntryState& state, TimePoint now, Effects& out);
+
 /// \brief Treats targets as cold whose failure domain was evacuated until lately, according to the records in the
 /// store.
 void applyEvacuationRecords(EntryState& state, TimePoint now, Effects& out);
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -1,5 +1,7 @@
 #include <arbutuscrank/entry/targets.hpp>
 
+#include <arbutuscrank/entry/store_era.hpp>
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -99,9 +101,48 @@
 bool TargetTable::applyRecord(const TargetRecord& record, TimePoint now)
 {
     auto& target = m_targets[record.id];
-    const bool wasDraining = target.record.draining;
+    const bool isEarlierStart = record.startedAtMs != 0 && record.startedAtMs < target.record.startedAtMs;
+    if (isEarlierStart && isInEraGrace(now)) {
+        target.isAwaitingRemoval = false;
+        return false;
+    }
+    const bool wasDraining = target.record.draining || target.isDrainHeld;
+    target.isDrainHeld = isDrainHeld(target, record, now);
     setRecord(target, record, now);
-    return record.draining && !wasDraining;
+    return (record.draining || target.isDrainHeld) && !wasDraining;
+}
+
+bool TargetTable::isDrainHeld(const Target& target, const TargetRecord& record, TimePoint now) const
+{
+    if (record.draining || !isInEraGrace(now))
+        return false;
+    if (!target.record.id.empty())
+        return (target.record.draining || target.isDrainHeld) && target.record.startedAtMs == record.startedAtMs
+            && target.record.address == record.address;
+    const auto it = m_departures.find(record.id);
+    if (it == m_departures.end() || it->second.at >= *m_eraRisenAt)
+        return false;
+    const auto& departure = it->second;
+    return record.startedAtMs < departure.startedAtMs
+        || (record.startedAtMs == departure.startedAtMs && record.address == departure.address);
+}
+
+bool TargetTable::isInEraGrace(TimePoint now) const noexcept
+{
+    return m_eraRisenAt && now < *m_eraRisenAt + StoreEraTracking::grace;
+}
+
+bool TargetTable::mayBeMissing(TimePoint now) const noexcept
+{
+    return m_isStoreUnavailable || (m_outageEndedAt && now < *m_outageEndedAt + removalGrace)
+        || (m_eraRisenAt && now < *m_eraRisenAt + removalGrace);
+}
+
+void TargetTable::eraseTarget(const Target& target, TimePoint now)
+{
+    const auto id = target.record.id;
+    m_departures[id] = { target.record.startedAtMs, target.record.address, now };
+    m_targets.erase(id);
 }
 
 bool TargetTable::applyRemoval(std::string_view id, TimePoint now)
@@ -109,12 +150,11 @@
     const auto it = m_targets.find(id);
     if (it == m_targets.end())
         return false;
-    const bool mayHaveExpired = m_isStoreUnavailable || (m_outageEndedAt && now < *m_outageEndedAt + removalGrace);
-    if (mayHaveExpired && !it->second.record.draining) {
+    if (mayBeMissing(now) && !it->second.record.draining) {
         it->second.isAwaitingRemoval = true;
         return false;
     }
-    m_targets.erase(it);
+    eraseTarget(it->second, now);
     return true;
 }
 
@@ -126,6 +166,8 @@
     m_outageEndedAt = now;
 }
 
+void TargetTable::recordStoreEraRise(TimePoint now) { m_eraRisenAt = now; }
+
 void TargetTable::recordStoreUpElsewhere(TimePoint since) noexcept
 {
     if (m_outageEndedAt)
@@ -135,15 +177,17 @@
 std::vector<std::string> TargetTable::removeExpired(TimePoint now)
 {
     std::vector<std::string> removedIds;
-    if (m_isStoreUnavailable || (m_outageEndedAt && now < *m_outageEndedAt + removalGrace))
+    std::erase_if(m_departures, [&](const auto& item) { return now - item.second.at >= departureMemory; });
+    if (mayBeMissing(now))
         return removedIds;
-    std::erase_if(m_targets, [&](const auto& item) {
-        const auto& [id, target] = item;
-        if (!target.isAwaitingRemoval)
-            return false;
-        removedIds.push_back(id);
-        return true;
-    });
+    const bool holdsDrains = isInEraGrace(now);
+    for (auto& [id, target] : m_targets) {
+        target.isDrainHeld = target.isDrainHeld && holdsDrains;
+        if (target.isAwaitingRemoval)
+            removedIds.push_back(id);
+    }
+    for (const auto& id : removedIds)
+        eraseTarget(m_targets.at(id), now);
     return removedIds;
 }
 
@@ -161,7 +205,8 @@
 
 bool TargetTable::isInService(const Target& target) const noexcept
 {
-    return !target.record.draining && !target.isLeaving && !m_evacuated.contains(target.record.failureDomain);
+    return !target.record.draining && !target.isDrainHeld && !target.isLeaving
+        && !m_evacuated.contains(target.record.failureDomain);
 }
 
 } // namespace arbutuscrank::entry
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -55,6 +55,16 @@
     list({});
 }
 
+void CollectionReader::restartInNewEra()
+{
+    m_revision = 0;
+    m_completeRevision = 0;
+    m_lastChange = 0;
+    m_checkedRevision = 0;
+    m_names.clear();
+    restart();
+}
+
 void CollectionReader::resume()
 {
     stop();
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -18,7 +18,7 @@
 
 /// \brief Lists one collection and then watches it with long polls.
 ///
-/// The reported states never go back: a list that lacks a change which was reported before fails with Unavailable. A
+/// Within an era of the store, the reported states never go back: a list that lacks a change which was reported before fails with Unavailable. A
 /// feed may serve such a list after this reader has read the store, or the feed of another VM.
 ///
 /// The connection on which a watch waits may go silent without a reset. Nothing tells this watch from one that has
@@ -52,6 +52,10 @@
     /// waiting watch may be dead.
     void restart();
 
+    /// \brief Does the same, and forgets the revisions that have been read, because the store's era has risen. The next
+    /// list may lack what was reported before.
+    void restartInNewEra();
+
     /// \brief Lists the collection again after the backoff, also if the reader is stopped. A call in progress is not
     /// abandoned: its answer is ignored, and a store that sends one call at a time sends the list after it.
     void restartAfterBackoff();
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -505,6 +505,8 @@
     addMetric("gauge", "members_known", m_state.members.fleetSize());
     addMetric("counter", "store_calls_total", m_store->platformCalls());
     addMetric("counter", "store_calls_failed_total", m_failedStoreCalls);
+    addMetric("gauge", "store_era", m_state.storeEra.current);
+    addMetric("counter", "store_era_rises_total", m_state.storeEra.rises);
     addMetric("counter", "target_connections_opened_total", m_targetConnections.connectionsOpened());
     addMetric("gauge", "answer_memory_bytes", m_answerMemory.bytes());
     addMetric("counter", "answers_released_total", m_answerMemory.releasedAnswers());
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -104,6 +104,7 @@
     void perform(const entry::SendMessage& effect);
     void perform(const entry::RemoveRegistration& effect);
     void perform(const entry::RepeatPolicyRead& effect);
+    void perform(const entry::RestartStoreCalls& effect);
     void perform(const entry::RecordEvacuation& effect);
     void perform(const entry::RemoveEvacuationRecord& effect);
     void perform(const entry::WriteLog& effect);
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -21,6 +21,7 @@
 
 void EntryNode::createReaders()
 {
+    m_store->setEraHandler([this](StoreEra era) { dispatch(entry::StoreEraRead { era }); });
     // An answered watch of the policy proves that no key was withdrawn before the watch was sent. The age of this proof
     // must stay within the bound on withdrawals. The wait counts twice towards that age: the coordinator waits for the
     // store, and a VM that reads the coordinator's feed waits for the coordinator. The other collections only need a
@@ -262,7 +263,9 @@
 
 void EntryNode::dispatchEvacuations()
 {
-    dispatch(entry::EvacuationsChanged { { m_readers.at(Collection::Evacuations)->revision(), m_evacuations } });
+    dispatch(entry::EvacuationsChanged { { .revision = m_readers.at(Collection::Evacuations)->revision(),
+        .failureDomains = m_evacuations,
+        .era = m_store->era() } });
 }
 
 void EntryNode::applyEvacuationRecordChange(const std::string& failureDomain, const StoreChange& change)
@@ -308,6 +311,20 @@
 
 void EntryNode::perform(const entry::RemoveRegistration& effect) { removeMemberObject(effect.vm); }
 
+void EntryNode::perform(const entry::RestartStoreCalls& effect)
+{
+    const bool hasRead = m_store->era() != 0;
+    m_store->noteEra(effect.era);
+    if (!hasRead)
+        return;
+    m_memberRevisions.clear();
+    m_mustListAfterFailure = false;
+    for (const auto& [collection, reader] : m_readers) {
+        if (m_hasStartedReaders || collection == Collection::Members)
+            reader->restartInNewEra();
+    }
+}
+
 void EntryNode::perform(const entry::RepeatPolicyRead&)
 {
     if (m_hasStartedReaders && m_store->source().empty())
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -130,12 +130,23 @@
 
     Json encodeEvacuations(const entry::EvacuationReading& reading)
     {
-        return { reading.revision, reading.failureDomains };
+        auto held = Json::array();
+        for (const auto& [failureDomain, remaining] : reading.held) {
+            held.push_back(failureDomain);
+            held.push_back(encodeDuration(remaining));
+        }
+        return { reading.revision, reading.failureDomains, reading.era, std::move(held) };
     }
 
     entry::EvacuationReading decodeEvacuations(const Json& json)
     {
-        return { json.at(0).get<std::uint64_t>(), json.at(1).get<std::set<std::string>>() };
+        entry::EvacuationReading out { .revision = json.at(0).get<std::uint64_t>(),
+            .failureDomains = json.at(1).get<std::set<std::string>>(),
+            .era = json.at(2).get<StoreEra>() };
+        const auto& held = json.at(3);
+        for (std::size_t i = 0; i + 1 < held.size(); i += 2)
+            out.held[held.at(i).get<std::string>()] = decodeDuration(held.at(i + 1));
+        return out;
     }
 
     Json encodeAccounts(const entry::AccountUsages& accounts)
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -35,6 +35,7 @@
     /// Time as of which the store has confirmed the policy, if another VM read the page. It says nothing about the age
     /// of other collections. Without it, the page is confirmed as of the time at which the call was sent.
     std::optional<TimePoint> confirmedAt;
+    StoreEra era = 0; ///< of the answer; 0 if it names none
 };
 
 /// \brief One change that a watch reports.
@@ -49,6 +50,7 @@
     std::vector<StoreChange> changes;
     std::uint64_t revision = 0; ///< revision after which the next watch starts
     std::optional<TimePoint> confirmedAt; ///< as in \ref StoreListing
+    StoreEra era = 0; ///< as in \ref StoreListing
 };
 
 /// \brief Asynchronous calls to the store. Each handler is called once, from the event loop.
@@ -59,6 +61,7 @@
 class ObjectStore {
 public:
     template <typename T> using Handler = std::function<void(Result<T>)>;
+    using EraHandler = std::function<void(StoreEra)>;
 
     virtual ~ObjectStore() = default;
 
@@ -73,6 +76,13 @@
     /// Their handlers are called with Unknown.
     virtual void abandonReads(Collection collection) = 0;
 
+    /// \brief Sets the handler that gets the era of each answer that names one, failures included, before the handler of
+    /// the call gets the answer.
+    virtual void setEraHandler(EraHandler handler) = 0;
+
+    /// \brief Abandons the writes that are in progress or wait to be sent. Their handlers are called with Unknown.
+    virtual void abandonWrites() = 0;
+
     /// \brief Creates an object, or replaces it if the store still holds the expected revision (compare-and-set).
     /// \param object its revision is the expected one; 0 to create
     /// \param done gets the new revision, or 0 if the store's answer contains none
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -64,16 +64,18 @@
         }.dump();
     }
 
-    /// Adds the confirmation to an encoded answer.
-    std::string addConfirmation(std::string_view encoded, Duration offset)
+    /// Adds the era and the confirmation to an encoded answer.
+    std::string addConfirmation(std::string_view encoded, StoreEra era, Duration offset)
     {
-        return "{\"confirmedAfterUs\":" + std::to_string(offset.count()) + ',' + std::string(encoded.substr(1));
+        return "{\"era\":" + std::to_string(era) + ",\"confirmedAfterUs\":" + std::to_string(offset.count()) + ','
+            + std::string(encoded.substr(1));
     }
 
     StoreListing decodeListing(const Json& json, TimePoint sentAt)
     {
         StoreListing out { .revision = json.at("revision").get<std::uint64_t>(),
-            .confirmedAt = sentAt + Duration(json.at("confirmedAfterUs").get<std::int64_t>()) };
+            .confirmedAt = sentAt + Duration(json.at("confirmedAfterUs").get<std::int64_t>()),
+            .era = json.value("era", StoreEra { 0 }) };
         for (const auto& object : json.at("objects"))
             out.objects.push_back(decodeObject(object));
         return out;
@@ -82,7 +84,8 @@
     StoreChanges decodeChanges(const Json& json, TimePoint sentAt)
     {
         StoreChanges out { .revision = json.at("revision").get<std::uint64_t>(),
-            .confirmedAt = sentAt + Duration(json.at("confirmedAfterUs").get<std::int64_t>()) };
+            .confirmedAt = sentAt + Duration(json.at("confirmedAfterUs").get<std::int64_t>()),
+            .era = json.value("era", StoreEra { 0 }) };
         for (const auto& object : json.at("removed"))
             out.changes.push_back({ decodeObject(object), true });
         for (const auto& object : json.at("objects"))
@@ -90,27 +93,11 @@
         return out;
     }
 
-    template <typename T, typename Decode>
-    HttpChannel::Handler makeFeedHandler(ObjectStore::Handler<T> done, std::string peer, Decode decode)
+    /// Era that a refusal of a feed names; 0 if it names none.
+    StoreEra decodeRefusalEra(const std::string& body)
     {
-        const auto sentAt = currentTime();
-        return [done = std::move(done), peer = std::move(peer), decode, sentAt](Result<HttpChannel::Response> answer) {
-            if (!answer) {
-                done(answer.error());
-                return;
-            }
-            const auto status = answer.value().result_int();
-            if (status != 200) {
-                done(Error { status == 410 ? ErrorCode::NotFound : ErrorCode::Unavailable, "feed.read", peer,
-                    "status " + std::to_string(status) });
-                return;
-            }
-            try {
-                done(decode(Json::parse(answer.value().body()), sentAt));
-            } catch (const Json::exception& ec) {
-                done(Error { ErrorCode::Protocol, "feed.read", peer, ec.what() });
-            }
-        };
+        const auto json = Json::parse(body, nullptr, false);
+        return json.is_object() ? json.value("era", StoreEra { 0 }) : 0;
     }
 
     /// Value of a numeric query parameter; zero if it is missing or unreadable.
@@ -132,6 +119,65 @@
         serve(target, std::move(reply));
     }))
 {
+    m_platformStore->setEraHandler([this](StoreEra era) { noteEra(era); });
+}
+
+void SharedStore::noteEra(StoreEra era)
+{
+    if (era <= m_era)
+        return;
+    const bool isRise = std::exchange(m_era, era) != 0;
+    if (isRise) {
+        m_caches.clear();
+        m_encodedListings.clear();
+        m_encodedChanges.clear();
+        refuseFeedReads();
+        abandonWrites();
+    }
+    if (m_eraHandler)
+        m_eraHandler(era);
+}
+
+template <typename T> void SharedStore::deliver(Result<T> answer, StoreEra sentInEra, const Handler<T>& done)
+{
+    if (answer && !isCurrent(answer.value().era, sentInEra)) {
+        done(Error { ErrorCode::Unavailable, "store.era", m_source,
+            "the answer is not of era " + std::to_string(m_era) + " of the store" });
+        return;
+    }
+    done(std::move(answer));
+}
+
+template <typename T, typename Decode>
+HttpChannel::Handler SharedStore::makeFeedHandler(Handler<T> done, Decode decode)
+{
+    return [this, done = std::move(done), decode, peer = m_source, sentAt = currentTime(), sentInEra = m_era](
+               Result<HttpChannel::Response> response) {
+        if (!response) {
+            done(response.error());
+            return;
+        }
+        const auto& body = response.value().body();
+        try {
+            const auto status = response.value().result_int();
+            if (status == 200) {
+                Result<T> answer = decode(Json::parse(body), sentAt);
+                noteEra(answer.value().era);
+                deliver(std::move(answer), sentInEra, done);
+                return;
+            }
+            noteEra(decodeRefusalEra(body));
+            done(Error { status == 410 ? ErrorCode::NotFound : ErrorCode::Unavailable, "feed.read", peer,
+                "status " + std::to_string(status) });
+        } catch (const Json::exception& ec) {
+            done(Error { ErrorCode::Protocol, "feed.read", peer, ec.what() });
+        }
+    };
+}
+
+HttpGetServer::Answer SharedStore::makeRefusal(http::status status) const
+{
+    return makeAnswer(status, "{\"era\":" + std::to_string(m_era) + '}', "application/json");
 }
 
 void SharedStore::setSource(const std::string& address)
@@ -171,19 +217,21 @@
         HttpChannel::Request request(
             http::verb::get, std::string(feedPath) + std::string(toString(collection)) + "?list", 11);
         feedChannel(collection)
-            .call(std::move(request), listTimeout, makeFeedHandler(std::move(done), m_source, decodeListing));
+            .call(std::move(request), listTimeout, makeFeedHandler(std::move(done), decodeListing));
         return;
     }
     ++m_platformCalls;
     m_platformStore->list(collection, after,
-        [this, collection, sentAt = currentTime(), isFirst = after.empty(), done = std::move(done)](
+        [this, collection, sentAt = currentTime(), sentInEra = m_era, isFirst = after.empty(), done = std::move(done)](
             Result<StoreListing> page) {
-            if (page && m_source.empty()) {
+            if (page)
+                noteEra(page.value().era);
+            if (page && m_source.empty() && isCurrent(page.value().era, sentInEra)) {
                 recordConfirmation(collection, sentAt);
                 m_caches[collection].applyPage(page.value(), isFirst);
                 answerWaiters(collection);
             }
-            done(std::move(page));
+            deliver(std::move(page), sentInEra, done);
         });
 }
 
@@ -192,22 +240,24 @@
     if (!m_source.empty()) {
         HttpChannel::Request request(http::verb::get,
             std::string(feedPath) + std::string(toString(collection)) + "?watch=" + std::to_string(revision)
-                + "&waitMs=" + std::to_string(wait / milliseconds(1)),
+                + "&waitMs=" + std::to_string(wait / milliseconds(1)) + "&era=" + std::to_string(m_era),
             11);
         feedChannel(collection)
-            .call(std::move(request), wait + watchAnswerMargin,
-                makeFeedHandler(std::move(done), m_source, decodeChanges));
+            .call(std::move(request), wait + watchAnswerMargin, makeFeedHandler(std::move(done), decodeChanges));
         return;
     }
     ++m_platformCalls;
     m_platformStore->watch(collection, revision, wait,
-        [this, collection, sentAt = currentTime(), done = std::move(done)](Result<StoreChanges> changes) {
-            if (changes && m_source.empty()) {
+        [this, collection, sentAt = currentTime(), sentInEra = m_era, done = std::move(done)](
+            Result<StoreChanges> changes) {
+            if (changes)
+                noteEra(changes.value().era);
+            if (changes && m_source.empty() && isCurrent(changes.value().era, sentInEra)) {
                 recordConfirmation(collection, sentAt);
                 m_caches[collection].applyChanges(changes.value());
                 answerWaiters(collection);
             }
-            done(std::move(changes));
+            deliver(std::move(changes), sentInEra, done);
         });
 }
 
@@ -218,17 +268,27 @@
     m_platformStore->abandonReads(collection);
 }
 
+ObjectStore::Handler<ObjectVersion> SharedStore::makeWriteHandler(Handler<ObjectVersion> done) const
+{
+    return [this, sentInEra = m_era, done = std::move(done)](Result<ObjectVersion> result) {
+        if (result && !isCurrent(0, sentInEra))
+            result = Error { ErrorCode::Unknown, "store.era", {},
+                "the store may have lost the write, because its era has risen to " + std::to_string(m_era) };
+        done(std::move(result));
+    };
+}
+
 void SharedStore::write(Collection collection, const StoreObject& object, Handler<ObjectVersion> done)
 {
     ++m_platformCalls;
-    m_platformStore->write(collection, object, std::move(done));
+    m_platformStore->write(collection, object, makeWriteHandler(std::move(done)));
 }
 
 void SharedStore::remove(
     Collection collection, const std::string& name, ObjectVersion revision, Handler<ObjectVersion> done)
 {
     ++m_platformCalls;
-    m_platformStore->remove(collection, name, revision, std::move(done));
+    m_platformStore->remove(collection, name, revision, makeWriteHandler(std::move(done)));
 }
 
 bool SharedStore::canServe(Collection collection) const
@@ -251,8 +311,13 @@
         return;
     }
     const auto collection = *found;
+    const auto era = queryNumber(query, "era");
+    if (hasOtherEra(era)) {
+        reply(makeRefusal(http::status::gone));
+        return;
+    }
     if (!canServe(collection)) {
-        reply(makeAnswer(http::status::service_unavailable, {}, "text/plain"));
+        reply(makeRefusal(http::status::service_unavailable));
         return;
     }
     if (query.starts_with("?list")) {
@@ -260,14 +325,14 @@
         const auto& encoded
             = encodeOnce(m_encodedListings[collection], cache.revision(), 0, [&] { return encode(cache.listing()); });
         reply(
-            makeAnswer(http::status::ok, addConfirmation(encoded, *m_confirmedAt - currentTime()), "application/json"));
+            makeAnswer(http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - currentTime()), "application/json"));
         return;
     }
     const auto wait = milliseconds(queryNumber(query, "waitMs"));
     const auto id = ++m_lastWaiterId;
     auto& waiter = m_waiters
                        .emplace(id,
-                           Waiter { collection, queryNumber(query, "watch"), currentTime(), std::move(reply),
+                           Waiter { collection, queryNumber(query, "watch"), era, currentTime(), std::move(reply),
                                asio::steady_timer(m_context, wait) })
                        .first->second;
     if (hasChanges(waiter)) {
@@ -295,20 +360,24 @@
     const auto node = m_waiters.extract(id);
     if (node.empty())
         return; // answered already
-    const auto& [collection, revision, receivedAt, reply, timer] = node.mapped();
+    const auto& [collection, revision, era, receivedAt, reply, timer] = node.mapped();
+    if (hasOtherEra(era)) {
+        reply(makeRefusal(http::status::gone));
+        return;
+    }
     if (!canServe(collection)) {
-        reply(makeAnswer(http::status::service_unavailable, {}, "text/plain"));
+        reply(makeRefusal(http::status::service_unavailable));
         return;
     }
     const auto& cache = m_caches.at(collection);
     const auto changes = cache.changesAfter(revision);
     if (!changes) {
-        reply(makeAnswer(http::status::gone, {}, "text/plain"));
+        reply(makeRefusal(http::status::gone));
         return;
     }
     const auto& encoded
         = encodeOnce(m_encodedChanges[collection], cache.revision(), revision, [&] { return encode(changes.value()); });
-    reply(makeAnswer(http::status::ok, addConfirmation(encoded, *m_confirmedAt - receivedAt), "application/json"));
+    reply(makeAnswer(http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - receivedAt), "application/json"));
 }
 
 const std::string& SharedStore::encodeOnce(
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -38,12 +38,22 @@
     /// often, that holds for every collection.
     void invalidateFeed(Collection failed);
 
+    /// \brief Greatest era of the store that is known; 0 if none is.
+    [[nodiscard]] StoreEra era() const noexcept { return m_era; }
+    /// \brief Records an era of the store. If it is a rise, the feed refuses reads until the collections are read again,
+    /// writes of the earlier era are abandoned, and answers to calls of the earlier era fail.
+    void noteEra(StoreEra era);
+
     /// \brief Number of calls sent to the platform's store.
     [[nodiscard]] std::uint64_t platformCalls() const noexcept { return m_platformCalls; }
 
     void list(Collection collection, const std::string& after, Handler<StoreListing> done) override;
     void watch(Collection collection, std::uint64_t revision, Duration wait, Handler<StoreChanges> done) override;
     void abandonReads(Collection collection) override;
+    /// \copydoc ObjectStore::setEraHandler Here it gets only eras that are greater than any before, those from feeds
+    /// included.
+    void setEraHandler(EraHandler handler) override { m_eraHandler = std::move(handler); }
+    void abandonWrites() override { m_platformStore->abandonWrites(); }
     void write(Collection collection, const StoreObject& object, Handler<ObjectVersion> done) override;
     void remove(
         Collection collection, const std::string& name, ObjectVersion revision, Handler<ObjectVersion> done) override;
@@ -53,6 +63,7 @@
     struct Waiter {
         Collection collection {};
         std::uint64_t revision = 0;
+        StoreEra era = 0; ///< of the revision; 0 if unknown
         TimePoint receivedAt {};
         HttpGetServer::Reply reply;
         asio::steady_timer timer;
@@ -67,6 +78,21 @@
         std::string text;
     };
 
+    /// Passes an answer on, unless the era has changed since its call was sent or the answer is of an earlier one.
+    template <typename T> void deliver(Result<T> answer, StoreEra sentInEra, const Handler<T>& done);
+    /// Whether an answer of an era, or of an unknown one, to a call that was sent in another is of the newest era.
+    [[nodiscard]] bool isCurrent(StoreEra era, StoreEra sentInEra) const noexcept
+    {
+        return (era == 0 || era == m_era) && (sentInEra == 0 || sentInEra == m_era);
+    }
+    /// Whether a reader's revision is of another era than this feed, as far as both are known.
+    [[nodiscard]] bool hasOtherEra(StoreEra readerEra) const noexcept
+    {
+        return readerEra != 0 && m_era != 0 && readerEra != m_era;
+    }
+    [[nodiscard]] Handler<ObjectVersion> makeWriteHandler(Handler<ObjectVersion> done) const;
+    template <typename T, typename Decode> HttpChannel::Handler makeFeedHandler(Handler<T> done, Decode decode);
+    [[nodiscard]] HttpGetServer::Answer makeRefusal(http::status status) const;
     [[nodiscard]] HttpChannel& feedChannel(Collection collection);
     void recordConfirmation(Collection collection, TimePoint sentAt);
     [[nodiscard]] bool canServe(Collection collection) const;
@@ -89,6 +115,8 @@
     std::map<Collection, FeedCache> m_caches;
     std::map<Collection, EncodedAnswer> m_encodedListings;
     std::map<Collection, EncodedAnswer> m_encodedChanges;
+    StoreEra m_era = 0;
+    EraHandler m_eraHandler;
     std::optional<TimePoint> m_confirmedAt; ///< send time of the last answered read of the policy
     std::map<WaiterId, Waiter> m_waiters;
     WaiterId m_lastWaiterId = 0;
