--- a/include/arbutuscrank/entry/effects.hpp
+++ b/include/arbutuscrank/entry/effects.hpp
@@ -102,8 +102,8 @@
 /// answered.
 struct RepeatPolicyRead { };
 
-/// \brief Abandons all reads and writes of the store that were begun in an earlier era, and lists all collections anew if
-/// any was read. Answers of earlier eras are ignored from now on.
+/// \brief Abandons all reads and writes of the store that were begun in an earlier era, and lists all collections anew
+/// if any was read. Answers of earlier eras are ignored from now on.
 struct RestartStoreCalls {
     StoreEra era = 0;
 };
--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -181,7 +181,7 @@
 using EntryEvent = std::variant<RequestArrived, CallerDisconnected, AttemptAnswered, AttemptFailed, RequestExpired,
     AdmissionTimedOut, HedgeDue, PolicyRead, PolicyConfirmed, TargetsListed, TargetChanged, TargetRemoved,
     EvacuationsChanged, EvacuationRecordsChanged, MembersListed, MemberChanged, MemberRemoved, StoreEraRead,
-    StoreFailed, FeedFailed, StoreAnswered, VmReportReceived, DomainReportReceived, DigestReceived, AdmissionRequestReceived,
-    AdmissionDecisionReceived, TokenReturnReceived, Tick, StopRequested>;
+    StoreFailed, FeedFailed, StoreAnswered, VmReportReceived, DomainReportReceived, DigestReceived,
+    AdmissionRequestReceived, AdmissionDecisionReceived, TokenReturnReceived, Tick, StopRequested>;
 
 } // namespace arbutuscrank::entry
--- a/include/arbutuscrank/entry/store_era.hpp
+++ b/include/arbutuscrank/entry/store_era.hpp
@@ -19,7 +19,8 @@
 struct StoreEraTracking {
     /// Time after a rise for which evacuations, drains and registrations of the earlier era are kept. Targets write
     /// their entries again within two seconds, and a VM that reads a feed may learn of the rise a second after the
-    /// others, so that its registration returns late. Keeping an evacuation for too long costs room, but breaks nothing.
+    /// others, so that its registration returns late. Keeping an evacuation for too long costs room, but breaks
+    /// nothing.
     static constexpr Duration grace = std::chrono::seconds(5);
 
     StoreEra current = 0; ///< greatest era known; 0 if no answer has named one
--- a/src/entry/evacuation_records.cpp
+++ b/src/entry/evacuation_records.cpp
@@ -70,8 +70,8 @@
     auto& records = state.evacuationRecords;
     std::erase_if(records.ofEarlierEra, [&](const auto& failureDomain) {
         const auto ended = records.endedAt.find(failureDomain);
-        const bool mayBeCold = ended != records.endedAt.end()
-            && now < ended->second + longestColdTime(state.policy.policy());
+        const bool mayBeCold
+            = ended != records.endedAt.end() && now < ended->second + longestColdTime(state.policy.policy());
         return !mayBeCold && !state.storeEra.isInGrace(now) && !state.targets.evacuated().contains(failureDomain);
     });
     if (!state.hasMemberList || !coordinatesFleet(state, now))
--- a/src/entry/reducers.hpp
+++ b/src/entry/reducers.hpp
@@ -53,9 +53,9 @@
 /// \brief Applies a reading of the evacuated failure domains unless a newer one has been applied.
 void adoptEvacuations(EntryState& state, const EvacuationReading& reading, TimePoint now, Effects& out);
 
-/// \brief Stops requests to the targets of evacuated failure domains: those that were read, and those that are held from
-/// an earlier era of the store. Targets of others that were evacuated before turn cold.
-/// \returns whether the set has changed
+/// \brief Stops requests to the targets of evacuated failure domains: those that were read, and those that are held
+/// from an earlier era of the store. Targets of others that were evacuated before turn cold. \returns whether the set
+/// has changed
 bool updateEvacuated(EntryState& state, TimePoint now, Effects& out);
 
 /// \brief The newest reading, with the evacuations held from an earlier era, for messages to other VMs.
--- a/src/entry/store_era.cpp
+++ b/src/entry/store_era.cpp
@@ -30,8 +30,8 @@
     records.removalRequestedAt.clear();
     state.targets.recordStoreEraRise(now);
     out.push_back(WriteLog { LogEvent::StoreEraRisen,
-        fmt::format("era={} previous={} evacuations_held=\"{}\"", era, before,
-            fmt::join(state.targets.evacuated(), ",")) });
+        fmt::format(
+            "era={} previous={} evacuations_held=\"{}\"", era, before, fmt::join(state.targets.evacuated(), ",")) });
     out.push_back(RestartStoreCalls { era });
 }
 
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -120,7 +120,7 @@
         return (target.record.draining || target.isDrainHeld) && target.record.startedAtMs == record.startedAtMs
             && target.record.address == record.address;
     const auto it = m_departures.find(record.id);
-    if (it == m_departures.end() || it->second.at >= *m_eraRisenAt)
+    if (it == m_departures.end() || it->second.at > *m_eraRisenAt)
         return false;
     const auto& departure = it->second;
     return record.startedAtMs < departure.startedAtMs
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -18,8 +18,9 @@
 
 /// \brief Lists one collection and then watches it with long polls.
 ///
-/// Within an era of the store, the reported states never go back: a list that lacks a change which was reported before fails with Unavailable. A
-/// feed may serve such a list after this reader has read the store, or the feed of another VM.
+/// Within an era of the store, the reported states never go back: a list that lacks a change which was reported before
+/// fails with Unavailable. A feed may serve such a list after this reader has read the store, or the feed of another
+/// VM.
 ///
 /// The connection on which a watch waits may go silent without a reset. Nothing tells this watch from one that has
 /// nothing to report, except that the store's revision moves on: see \ref noteStoreRevision.
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -76,8 +76,8 @@
     /// Their handlers are called with Unknown.
     virtual void abandonReads(Collection collection) = 0;
 
-    /// \brief Sets the handler that gets the era of each answer that names one, failures included, before the handler of
-    /// the call gets the answer.
+    /// \brief Sets the handler that gets the era of each answer that names one, failures included, before the handler
+    /// of the call gets the answer.
     virtual void setEraHandler(EraHandler handler) = 0;
 
     /// \brief Abandons the writes that are in progress or wait to be sent. Their handlers are called with Unknown.
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -148,8 +148,7 @@
     done(std::move(answer));
 }
 
-template <typename T, typename Decode>
-HttpChannel::Handler SharedStore::makeFeedHandler(Handler<T> done, Decode decode)
+template <typename T, typename Decode> HttpChannel::Handler SharedStore::makeFeedHandler(Handler<T> done, Decode decode)
 {
     return [this, done = std::move(done), decode, peer = m_source, sentAt = currentTime(), sentInEra = m_era](
                Result<HttpChannel::Response> response) {
@@ -216,8 +215,7 @@
     if (!m_source.empty()) {
         HttpChannel::Request request(
             http::verb::get, std::string(feedPath) + std::string(toString(collection)) + "?list", 11);
-        feedChannel(collection)
-            .call(std::move(request), listTimeout, makeFeedHandler(std::move(done), decodeListing));
+        feedChannel(collection).call(std::move(request), listTimeout, makeFeedHandler(std::move(done), decodeListing));
         return;
     }
     ++m_platformCalls;
@@ -324,8 +322,8 @@
         const auto& cache = m_caches.at(collection);
         const auto& encoded
             = encodeOnce(m_encodedListings[collection], cache.revision(), 0, [&] { return encode(cache.listing()); });
-        reply(
-            makeAnswer(http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - currentTime()), "application/json"));
+        reply(makeAnswer(
+            http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - currentTime()), "application/json"));
         return;
     }
     const auto wait = milliseconds(queryNumber(query, "waitMs"));
@@ -377,7 +375,8 @@
     }
     const auto& encoded
         = encodeOnce(m_encodedChanges[collection], cache.revision(), revision, [&] { return encode(changes.value()); });
-    reply(makeAnswer(http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - receivedAt), "application/json"));
+    reply(
+        makeAnswer(http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - receivedAt), "application/json"));
 }
 
 const std::string& SharedStore::encodeOnce(
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -40,8 +40,8 @@
 
     /// \brief Greatest era of the store that is known; 0 if none is.
     [[nodiscard]] StoreEra era() const noexcept { return m_era; }
-    /// \brief Records an era of the store. If it is a rise, the feed refuses reads until the collections are read again,
-    /// writes of the earlier era are abandoned, and answers to calls of the earlier era fail.
+    /// \brief Records an era of the store. If it is a rise, the feed refuses reads until the collections are read
+    /// again, writes of the earlier era are abandoned, and answers to calls of the earlier era fail.
     void noteEra(StoreEra era);
 
     /// \brief Number of calls sent to the platform's store.
--- a/tests/node/entry_node_failure_test.cpp
+++ b/tests/node/entry_node_failure_test.cpp
@@ -99,6 +99,25 @@
         EXPECT_EQ(store->watches[collection], before.at(collection) + 2) << toString(collection);
 }
 
+// Guards against a VM that stays unknown to the others, because the copy from which the store returned lacks its
+// registration, and against watches that go on from a revision of the earlier era.
+TEST_F(EntryNodeFailure, ARiseOfTheStoresEraListsEveryCollectionAndRegistersAgain)
+{
+    ASSERT_TRUE(runUntil(context, [&] { return areAllWatchesPending(); }));
+    store->era = 1;
+    store->answerWatch(Collection::Policy, StoreChanges { .revision = store->revision });
+    ASSERT_TRUE(runUntil(context, [&] { return isWatchPending(Collection::Policy); }));
+    const auto lists = store->lists;
+    const auto writes = store->writes.size();
+    ASSERT_GT(writes, 0U);
+    store->returnFromCopy({}, 8);
+    store->answerWatch(Collection::Policy, Error { ErrorCode::NotFound, "store.call", {}, "status 410" });
+    for (const auto& [collection, n] : lists)
+        EXPECT_EQ(store->lists[collection], n + 1) << toString(collection);
+    ASSERT_EQ(store->writes.size(), writes + 1);
+    EXPECT_EQ(store->writes.back().revision, 0U);
+}
+
 // Guards against calls to the store that grow with time although nothing changes in it.
 TEST_F(EntryNodeFailure, WatchesAreNotSentAgainWhileTheStoreDoesNotChange)
 {
