--- a/tests/adapter/decoder_test.cpp
+++ b/tests/adapter/decoder_test.cpp
@@ -170,6 +170,14 @@
     EXPECT_FALSE(decodeChanges("not json"));
 }
 
+// Guards against an era that is guessed from a header that is missing or damaged.
+TEST(StoreAnswers, AnUnreadableEraIsUnknown)
+{
+    EXPECT_EQ(decodeEra("3"), 3U);
+    for (const auto* text : { "", "x", "-1", "3x", "99999999999999999999999" })
+        EXPECT_EQ(decodeEra(text), 0U) << text;
+}
+
 // Guards against look-up parameters and answers with wrong names.
 TEST(PlatformLookup, IsTranslated)
 {
--- a/tests/node/message_codec_test.cpp
+++ b/tests/node/message_codec_test.cpp
@@ -69,6 +69,21 @@
     EXPECT_EQ(roundTrip(TokenReturn { "acme" }).account, "acme");
 }
 
+// Guards against a reading that reaches another VM without its era, by which it would be taken for an earlier one.
+TEST(MessageCodec, RoundTripsTheEraAndTheHeldEvacuations)
+{
+    const VmReport report { .process = { "vm1", 7 },
+        .evacuations = { .revision = 12,
+            .failureDomains = { "north-a" },
+            .era = 2,
+            .held = { { "south-a", std::chrono::milliseconds(1500) } } } };
+    const auto it = roundTrip(report).evacuations;
+    EXPECT_EQ(it.revision, 12U);
+    EXPECT_EQ(it.failureDomains, report.evacuations.failureDomains);
+    EXPECT_EQ(it.era, 2U);
+    EXPECT_EQ(it.held, report.evacuations.held);
+}
+
 // Guards against a crash or a changed state due to a datagram that is truncated or of another version or kind.
 TEST(MessageCodec, RejectsUnreadableDatagrams)
 {
