--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -9,6 +9,7 @@
 #include <arbutuscrank/entry/retry_limit.hpp>
 #include <arbutuscrank/entry/room_sharing.hpp>
 #include <arbutuscrank/entry/settings.hpp>
+#include <arbutuscrank/entry/store_era.hpp>
 #include <arbutuscrank/entry/store_source.hpp>
 #include <arbutuscrank/entry/target_selection.hpp>
 
@@ -114,6 +115,7 @@
     InFlightCounts reportedInFlight; ///< this VM's in-flight attempts as of its last report
     std::optional<TimePoint> lastTickAt;
     StoreSource storeSource;
+    StoreEraTracking storeEra;
     bool isStoreUnavailable = false;
     std::optional<TimePoint> storeAnsweredAt; ///< newest answer of the store, also through a feed
     std::optional<TimePoint> storeContactAt; ///< newest answer of the store to a call of this VM itself
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -326,7 +326,7 @@
             .inFlight = ownInFlight(state),
             .coldTargets = ownColdTimes(state, now),
             .namedRates = ownNamedRates(state, now),
-            .evacuations = state.evacuations,
+            .evacuations = evacuationsToReport(state, now),
         };
         for (const auto& [name, domain] : state.domainReports.all()) {
             if (DomainReportTable::isFresh(domain, now))
@@ -460,7 +460,7 @@
             .inFlight = state.reportedInFlight,
             .coldTargets = ownColdTimes(state, now),
             .namedRates = ownNamedRates(state, now),
-            .evacuations = state.evacuations,
+            .evacuations = evacuationsToReport(state, now),
         };
         state.lastReportAt = now;
         auto addresses = addressesOf(state, { state.coordination.followedCoordinator() });
@@ -768,6 +768,7 @@
     updateOthersInFlight(state, now);
     state.selection.updateSplits(state.targets, demandByService(state, now), restrictedDemand(state, now), now);
     updateColdnessKnowledge(state, now, out);
+    releaseEarlierEra(state, now, out);
     updateRateShares(state.targets, state.policy, state.members, now);
     updateRoomSharing(state, elapsed, now, out);
     for (const auto& id : state.targets.removeExpired(now))
