Choose the ports of a hostile callers' VM again if two are alike

The harness asks the kernel for each port with a socket that it closes, and got one port twice in one of 150 starts: the process could not listen.

--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -147,9 +147,11 @@
         busyTarget.work = [](const Message&) { return Target::Work { .seconds = 25 }; };
         store.put("servers", target.id(), target.entry());
         store.put("servers", busyTarget.id(), busyTarget.entry());
-        vm.emplace("vm-1", ip, store.address(), folder, VmOptions { .memoryMb = memoryMb });
         const auto settings = folder + "/vm-1.toml";
-        readPorts(settings);
+        // The harness may choose one port twice.
+        do
+            vm.emplace("vm-1", ip, store.address(), folder, VmOptions { .memoryMb = memoryMb });
+        while (!readPorts(settings));
         entry.emplace(settings, folder + "/vm-1.log");
         waitUntil("the process is ready", hangSeconds, [this] { return vm->isReady(); });
         waitUntil("a request is answered", hangSeconds, [this] { return isOrdinaryRequestAnswered(); });
@@ -175,11 +177,17 @@
     }
 
     /// Reads the addresses from the settings, and lowers the number of descriptors in them.
-    void readPorts(const std::string& path)
+    /// \returns false if two listeners have one port
+    bool readPorts(const std::string& path)
     {
         std::ifstream in(path);
         std::string text;
+        std::set<int> ports;
         for (std::string line; std::getline(in, line);) {
+            if (line.starts_with("internalPorts"))
+                ports.insert(std::atoi(line.c_str() + line.find('[') + 1));
+            if (line.starts_with("ready = ") || line.starts_with("front = ") || line.starts_with("directory = "))
+                ports.insert(std::atoi(line.c_str() + line.rfind(':') + 1));
             if (line.starts_with("maxFds"))
                 line = concat("maxFds = ", maxFds);
             if (line.starts_with("ready = "))
@@ -187,6 +195,7 @@
             text += line + '\n';
         }
         std::ofstream(path) << text;
+        return ports.size() == 4;
     }
 
     [[nodiscard]] int portOf(Place place) const
