Bound what all callers together may hold

Cause: bodies were collected whole, each within its own limit, and nothing counted them together, also for requests that no target would get. A chunked body grew in a string that doubles, each attempt copied the request, and nothing bounded fields or connections.

Change: CallerMemory counts the memory of requests by connection and refuses the one that holds most for longest while it arrives; bodies are blocks that all attempts share; bodies that no target gets are dropped as they arrive; fields and sockets are bounded, and idle or stalled connections give way.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -67,6 +67,8 @@
     CallerConnectionDropped = 608,
     CallerConnectionCut = 609,
     CallersNotAccepted = 610,
+    CallerMemoryFull = 611,
+    CallersCrowded = 612,
     // 7xx: steering
     PlanApplied = 700,
     ShiftStepped = 701,
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -126,6 +126,12 @@
 /// \brief Whether the configuration was confirmed recently enough to authenticate API keys.
 [[nodiscard]] bool isPolicyFresh(const EntryState& state, TimePoint now) noexcept;
 
+/// \brief Whether a request would be passed on to a target as things are. If not, it is refused, and its body is not
+/// needed.
+/// \param path may have a query
+[[nodiscard]] bool wouldPassOn(
+    const EntryState& state, std::string_view host, std::string_view path, std::string_view key, TimePoint now);
+
 /// \brief Reduces one event: changes the state and appends effects.
 ///
 /// \code
--- a/include/arbutuscrank/entry/traffic_policy.hpp
+++ b/include/arbutuscrank/entry/traffic_policy.hpp
@@ -57,6 +57,7 @@
 struct CallerLimits {
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 1 << 20;
+    std::uint32_t maxHeaderFields = 1000; ///< the memory of a short field is a multiple of its length
     Duration headerTimeout = std::chrono::seconds(5);
     Duration idleTimeout = std::chrono::seconds(15);
 };
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -107,6 +107,10 @@
         return "caller-connection-cut";
     case LogEvent::CallersNotAccepted:
         return "callers-not-accepted";
+    case LogEvent::CallerMemoryFull:
+        return "caller-memory-full";
+    case LogEvent::CallersCrowded:
+        return "callers-crowded";
     case LogEvent::PlanApplied:
         return "plan-applied";
     case LogEvent::ShiftStepped:
--- a/src/entry/reduce_requests.cpp
+++ b/src/entry/reduce_requests.cpp
@@ -82,6 +82,19 @@
 
 } // namespace
 
+bool wouldPassOn(
+    const EntryState& state, std::string_view host, std::string_view path, std::string_view key, TimePoint now)
+{
+    if (state.policy.policy().version == 0 || !state.targets.isLoaded())
+        return false;
+    const auto* route = state.policy.findRoute(host, path.substr(0, path.find('?')));
+    if (!route)
+        return false;
+    if (route->open || !state.policy.policy().requiresKeys)
+        return true;
+    return isPolicyFresh(state, now) && !key.empty() && state.policy.findAccount(sha256Hex(key));
+}
+
 void apply(EntryState& state, const RequestArrived& event, TimePoint now, Effects& out)
 {
     const auto version = state.policy.policy().version;
--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -26,6 +26,8 @@
     /// Late input of one connection that is discarded. The rest stays unread, so that a caller that sends without end
     /// is stopped by the receive window.
     constexpr std::size_t maxDiscardedBytes = 1U << 20U;
+    /// A caller that takes no answer for this time does not read.
+    constexpr Duration stalledAfter = std::chrono::seconds(1);
     /// Interval at which a connection with unread bytes is checked for a close, which its socket does not report then.
     constexpr Duration disconnectCheckInterval = std::chrono::milliseconds(200);
 
@@ -70,6 +72,10 @@
         return "write-failed";
     case CloseCause::ProcessEnd:
         return "process-end";
+    case CloseCause::Crowded:
+        return "crowded";
+    case CloseCause::Memory:
+        return "memory";
     }
     return "unknown";
 }
@@ -82,16 +88,31 @@
     , m_handlers(handlers)
 {
     setSocketOptions(m_socket, callerAckTimeout);
+    SystemError ignored; // a failed connection is noticed by the first read
+    m_socket.non_blocking(true, ignored);
+    m_movedAt = currentTime();
+}
+
+void CallerSession::start()
+{
+    if (m_handlers.memory) {
+        m_memory = m_handlers.memory->add([this] { refuseForMemory(); }, [this] { closeNow(CloseCause::Memory); });
+    }
+    waitForRequest();
 }
 
 void CallerSession::closeIfNoneUnansweredAfter(Duration duration)
 {
     m_timer.expires_after(duration);
-    m_timer.async_wait([weak = weak_from_this(), generation = ++m_timerGeneration](SystemError ec) {
+    m_timer.async_wait([weak = weak_from_this(), generation = ++m_timerGeneration, duration](SystemError ec) {
         const auto self = weak.lock();
         // The handler of an earlier wait may already be queued when the timer is set again; the generation rejects it.
-        if (!ec && self && generation == self->m_timerGeneration && self->hasNoUnansweredRequest())
+        if (ec || !self || generation != self->m_timerGeneration)
+            return;
+        if (self->hasNoUnansweredRequest())
             self->closeIdle(CloseCause::Idle);
+        else
+            self->closeIfNoneUnansweredAfter(duration);
     });
 }
 
@@ -114,61 +135,46 @@
     m_parser.emplace();
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->body_limit(limits.maxBodyBytes);
+    m_headBytes = 0;
+    m_isBodyDiscarded = false;
     m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), limits.maxHeaderBytes + maxUnparsedBytes));
     if (m_buffer.size() != 0) {
         closeIfNoneUnansweredAfter(limits.headerTimeout);
-        readRequest();
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), generation = m_readGeneration] {
+            if (generation == self->m_readGeneration)
+                self->readRequest();
+        });
         return;
     }
+    freeEmptyBuffer();
     closeIfNoneUnansweredAfter(limits.idleTimeout);
-    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](SystemError ec) {
-        if (ec || self->m_isClosed)
-            return;
-        self->stopReadingIfCallerIsSlow();
-        if (self->m_hasReadLastRequest) {
-            self->m_isReading = false;
-            self->watchForDisconnect();
-            return;
-        }
-        self->closeIfNoneUnansweredAfter(self->m_handlers.limits().headerTimeout);
-        self->readRequest();
-    });
-}
-
-void CallerSession::readRequest()
-{
-    const auto handledFailure = [](const std::shared_ptr<CallerSession>& self, SystemError ec) {
-        if (!ec && !self->m_isClosed)
-            return false;
-        self->m_isReading = false;
-        if (!self->m_isClosed)
-            self->handleReadError(ec);
-        return true;
-    };
-    http::async_read_header(
-        m_socket, m_buffer, *m_parser, [self = shared_from_this(), handledFailure](SystemError ec, std::size_t) {
-            if (handledFailure(self, ec))
+    m_socket.async_wait(
+        Tcp::socket::wait_read, [self = shared_from_this(), generation = m_readGeneration](SystemError ec) {
+            if (ec || self->m_isClosed || generation != self->m_readGeneration)
                 return;
-            self->closeIfNoneUnansweredAfter(self->m_handlers.limits().idleTimeout);
-            http::async_read(self->m_socket, self->m_buffer, *self->m_parser,
-                [self, handledFailure](SystemError bodyEc, std::size_t) {
-                    if (handledFailure(self, bodyEc))
-                        return;
-                    self->m_isReading = false;
-                    self->m_timer.cancel();
-                    if (self->m_hasReadLastRequest) {
-                        self->watchForDisconnect();
-                        return;
-                    }
-                    self->acceptRequest(*self->m_parser);
-                    self->waitForRequest();
-                });
+            self->stopReadingIfCallerIsSlow();
+            if (self->m_hasReadLastRequest) {
+                self->dropRequest();
+                self->watchForDisconnect();
+                return;
+            }
+            self->closeIfNoneUnansweredAfter(self->m_handlers.limits().headerTimeout);
+            self->readRequest();
         });
 }
 
-void CallerSession::acceptRequest(http::request_parser<http::string_body>& parser)
+void CallerSession::acceptRequest()
 {
-    auto request = std::make_shared<CallerRequest>(parser.release());
+    auto request = std::make_shared<CallerRequest>(m_parser->release());
+    request->body().keep(m_memory.acceptRequest());
+    dropRequest();
+    if (m_isBodyDiscarded && m_handlers.needsBody(*request)) {
+        // The configuration has changed while the body arrived.
+        CallerAnswer answer(http::status::service_unavailable, 11);
+        answer.set(http::field::retry_after, "0");
+        refuseUnread(std::move(answer));
+        return;
+    }
     const auto id = m_handlers.allocateId();
     m_pendingAnswers.push_back({ .request = id, .keepAlive = request->keep_alive(), .version = request->version() });
     if (!request->keep_alive())
@@ -178,6 +184,15 @@
         watchForDisconnect();
 }
 
+void CallerSession::refuseUnread(CallerAnswer answer)
+{
+    answer.prepare_payload();
+    m_hasReadLastRequest = true;
+    m_pendingAnswers.push_back({ .keepAlive = false, .answer = std::move(answer) });
+    writeNext();
+    watchForDisconnect();
+}
+
 void CallerSession::watchForDisconnect()
 {
     if (m_isClosed || m_isWatchingForDisconnect)
@@ -220,11 +235,7 @@
     }
     m_handlers.logUnreadableRequest(ec.message());
     CallerAnswer answer(statusForReadError(ec), 11);
-    answer.prepare_payload();
-    m_hasReadLastRequest = true;
-    m_pendingAnswers.push_back({ .keepAlive = false, .answer = std::move(answer) });
-    writeNext();
-    watchForDisconnect();
+    refuseUnread(std::move(answer));
 }
 
 void CallerSession::closeAndReportUnanswered()
@@ -239,6 +250,23 @@
     }
 }
 
+void CallerSession::closeNow(CloseCause cause)
+{
+    const auto self = shared_from_this(); // the requests may be the last owners
+    reportCut(cause);
+    closeAndReportUnanswered();
+}
+
+CallerSession::CostOfClose CallerSession::costOfClose()
+{
+    const bool isStalled = currentTime() - m_movedAt >= stalledAfter;
+    if ((m_isWriting && isStalled) || (m_isEnding && undeliveredBytes() != 0))
+        return CostOfClose::Answers;
+    if (!hasNoUnansweredRequest())
+        return CostOfClose::RunningRequests;
+    return isReceivingRequest() ? CostOfClose::PartOfRequest : CostOfClose::Nothing;
+}
+
 void CallerSession::closeForMemory()
 {
     if (m_isClosed)
@@ -286,6 +314,7 @@
             if (ec && ec != asio::error::broken_pipe && ec != asio::error::connection_reset)
                 self->reportCut(CloseCause::WriteFailed);
             self->m_isWriting = false;
+            self->m_movedAt = currentTime();
             self->m_currentAnswer.reset();
             self->m_currentMemory = {};
             if (self->m_isClosed)
@@ -428,6 +457,7 @@
         return;
     m_isClosed = true;
     m_isEnding = false;
+    dropRequest();
     m_timer.cancel();
     m_disconnectTimer.cancel();
     m_closeTimer.cancel();
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "node/answer_memory.hpp"
+#include "node/caller_memory.hpp"
 #include "node/network.hpp"
 #include "node/object_store.hpp"
+#include "node/request_body.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -22,7 +24,7 @@
 
 namespace http = boost::beast::http;
 
-using CallerRequest = http::request<http::string_body>;
+using CallerRequest = http::request<RequestBody>;
 using CallerAnswer = http::response<http::string_body>;
 
 class CallerSession;
@@ -34,6 +36,8 @@
     LastAnswer, ///< the caller has not closed the connection after its last answer
     WriteFailed, ///< an answer could not be written
     ProcessEnd, ///< the process ends
+    Crowded, ///< another caller needs its socket
+    Memory, ///< the requests of all callers exceed their memory
 };
 
 /// \brief Name of the cause in logs and metrics.
@@ -60,6 +64,12 @@
     /// Called when a connection is closed because its caller leaves more answers unread than there is memory for.
     std::function<void(const std::string& caller, std::size_t unansweredRequests)> logConnectionDropped;
     std::function<void(const ConnectionCut&)> logConnectionCut;
+    /// Asked when the head of a request with a body is read. If it returns false, the body is not kept, and the owner
+    /// answers the request without it. Empty if all bodies are kept.
+    std::function<bool(const CallerRequest&)> needsBody;
+    /// Called when a request is refused, because the requests of all callers exceed their memory.
+    std::function<void(const std::string& caller, std::uint64_t requestBytes)> logRequestRefused;
+    CallerMemory* memory = nullptr; ///< counts the requests; null if they are not counted
 };
 
 /// \brief Reads the requests of one connection and writes their answers.
@@ -67,7 +77,7 @@
 public:
     CallerSession(Tcp::socket socket, const CallerHandlers& handlers);
 
-    void start() { waitForRequest(); }
+    void start();
 
     /// \brief Answers a request. Answers are written in the order of the requests, so an early answer is held back.
     /// \param memory counts the answer until it is written; if it is released, the connection closes
@@ -92,6 +102,22 @@
         return hasNoUnansweredRequest() && !m_isEnding && !isReceivingRequest() && undeliveredBytes() == 0;
     }
 
+    /// \brief What it costs the caller if its connection is closed, from the least.
+    enum class CostOfClose : std::uint8_t {
+        Nothing, ///< idle
+        PartOfRequest, ///< a request has not arrived whole
+        Answers, ///< the caller does not read its answers
+        RunningRequests,
+    };
+    [[nodiscard]] CostOfClose costOfClose();
+
+    /// \brief When the caller last sent bytes or an answer was written.
+    [[nodiscard]] TimePoint movedAt() const noexcept { return m_movedAt; }
+    [[nodiscard]] bool isClosed() const noexcept { return m_isClosed; }
+
+    /// \brief Closes the connection at once. Its unanswered requests are reported.
+    void closeNow(CloseCause cause);
+
     /// \brief Logs what is outstanding on the connection, if anything, because the process ends.
     void reportProcessEnd() { reportCut(CloseCause::ProcessEnd); }
 
@@ -119,11 +145,27 @@
     void waitForRequest();
     /// In a planned stop, takes no request behind an answer that its caller does not take as fast as it is written.
     void stopReadingIfCallerIsSlow();
+    void waitForBytes();
+    /// Reads and parses what has arrived of the request, and waits for more unless it is whole.
     void readRequest();
+    /// Receives bytes and passes them to the parser. \returns the number of bytes received
+    std::size_t receive(SystemError& ec);
+    /// Passes bytes to the parser. \returns the number of bytes that it has taken
+    std::size_t parse(asio::const_buffer bytes, SystemError& ec);
+    /// Counts the fields of the head, and fails if there are too many.
+    void checkFields(SystemError& ec);
+    void handleHead();
+    void countMemory();
+    void freeEmptyBuffer();
+    /// Ends the request that is being read and frees its memory.
+    void dropRequest();
+    void refuseForMemory();
+    /// Answers an unread request and reads no further one.
+    void refuseUnread(CallerAnswer answer);
     /// Notices that the caller disconnects while no further request is read, and keeps the session alive until all
     /// requests are answered and the connection has ended. Drops late input that is to be discarded.
     void watchForDisconnect();
-    void acceptRequest(http::request_parser<http::string_body>& parser);
+    void acceptRequest();
     void handleReadError(SystemError ec);
     void writeNext();
     void closeIfNoneUnansweredAfter(Duration duration);
@@ -150,7 +192,12 @@
     asio::steady_timer m_closeTimer;
     const CallerHandlers& m_handlers;
     boost::beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http::request_parser<RequestBody>> m_parser;
+    CallerMemory::Holder m_memory;
+    std::size_t m_headBytes = 0; ///< memory of the parsed head of the request that is being read
+    bool m_isBodyDiscarded = false; ///< of the request that is being read
+    std::uint64_t m_readGeneration = 0; ///< number of requests whose reading has ended
+    TimePoint m_movedAt {};
     std::deque<PendingAnswer> m_pendingAnswers;
     std::optional<CallerAnswer> m_currentAnswer; ///< the answer that is being written
     AnswerMemory::Share m_currentMemory; ///< of \ref m_currentAnswer
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -25,12 +25,17 @@
     constexpr Duration listenTimeAfterStop = milliseconds(3200);
     /// Part of the process's memory for answers that are being received or written, as a divisor.
     constexpr std::uint64_t answerMemoryDivisor = 4;
+    /// Sockets for the listeners, the datagrams and the connections to the store.
+    constexpr std::size_t ownSockets = 16;
+    /// Parts of the sockets that look-ups, readiness checks and readers of metrics may use, as divisors.
+    constexpr std::size_t lookupSocketDivisor = 8;
+    constexpr std::size_t inspectionSocketDivisor = 32;
+    /// Time after which a caller may send a request again that was refused because no socket was left.
+    constexpr const char* crowdedRetryAfter = "1";
     /// Delay of the event loop from which it is logged.
     constexpr Duration loggedLoopDelay = milliseconds(250);
     /// Part of a value from outside that is logged.
     constexpr std::size_t maxLoggedValueBytes = 64;
-    /// Delay before a failed accept is retried, so that a shortage of file descriptors does not cause a busy loop.
-    constexpr Duration acceptRetryDelay = milliseconds(50);
 
     std::uint64_t unixTimeMs()
     {
@@ -100,6 +105,14 @@
         return event;
     }
 
+    std::size_t lookupSockets(std::size_t sockets) { return sockets / lookupSocketDivisor; }
+    std::size_t inspectionSockets(std::size_t sockets) { return sockets / inspectionSocketDivisor; }
+
+    std::size_t socketsForRequests(std::size_t sockets)
+    {
+        return sockets - ownSockets - lookupSockets(sockets) - 2 * inspectionSockets(sockets);
+    }
+
 } // namespace
 
 EntryNode::EntryNode(asio::io_context& context, const entry::EntrySettings& settings, PlatformBinding platform)
@@ -108,6 +121,8 @@
     , m_log(settings.vm, settings.logLevel, STDOUT_FILENO)
     , m_state(settings, makeSelfRecord(settings), std::random_device {}())
     , m_answerMemory(settings.memoryBytes / answerMemoryDivisor)
+    , m_callerMemory(callerMemoryLimit())
+    , m_maxSockets(socketsForRequests(settings.maxSockets))
     , m_targetConnections(context, m_platform.headers, m_answerMemory)
     , m_messageSocket(context, [this](std::string_view bytes) { handleMessage(bytes); })
     , m_readinessServer(context, [this](std::string_view target) { return serveReadiness(target); })
@@ -138,7 +153,25 @@
                         "caller={} unanswered={} answer_bytes={}", caller, unansweredRequests, m_answerMemory.bytes()));
             },
         .logConnectionCut = [this](const ConnectionCut& cut) { recordConnectionCut(cut); },
+        .needsBody = [this](const CallerRequest& request) { return needsBody(request); },
+        .logRequestRefused =
+            [this](const std::string& caller, std::uint64_t bytes) {
+                log(LogEvent::CallerMemoryFull,
+                    fmt::format("caller={} request_bytes={} all_bytes={}", caller, bytes, m_callerMemory.bytes()));
+            },
+        .memory = &m_callerMemory,
     };
+    m_lookupServer.setMaxConnections(lookupSockets(settings.maxSockets));
+    m_readinessServer.setMaxConnections(inspectionSockets(settings.maxSockets));
+    m_inspectionServer.setMaxConnections(inspectionSockets(settings.maxSockets));
+}
+
+bool EntryNode::needsBody(const CallerRequest& request) const
+{
+    const auto host = request[http::field::host];
+    const auto target = request.target();
+    return wouldPassOn(m_state, removePort({ host.data(), host.size() }), { target.data(), target.size() },
+        headerValue(request, m_platform.headers.key), currentTime());
 }
 
 void EntryNode::recordConnectionCut(const ConnectionCut& cut)
@@ -170,53 +203,20 @@
     return outcome::success();
 }
 
-void EntryNode::acceptCallers()
-{
-    m_acceptor->async_accept([this](SystemError ec, Tcp::socket socket) {
-        if (ec == asio::error::operation_aborted)
-            return;
-        if (ec) {
-            auto timer = std::make_shared<asio::steady_timer>(m_context, acceptRetryDelay);
-            timer->async_wait([this, timer](SystemError) {
-                if (!m_hasStoppedListening)
-                    acceptCallers();
-            });
-            return;
-        }
-        startSession(std::move(socket));
-        acceptCallers();
-    });
-}
-
-void EntryNode::startSession(Tcp::socket socket)
-{
-    auto session = std::make_shared<CallerSession>(std::move(socket), m_callerHandlers);
-    std::erase_if(m_sessions, [](const auto& weak) { return weak.expired(); });
-    m_sessions.push_back(session);
-    session->start();
-}
-
-void EntryNode::stopListening()
-{
-    m_hasStoppedListening = true;
-    SystemError ec;
-    m_acceptor->non_blocking(true, ec);
-    // To close the acceptor resets the connections that wait to be accepted.
-    while (!ec) {
-        Tcp::socket socket(m_context);
-        m_acceptor->accept(socket, ec);
-        if (!ec)
-            startSession(std::move(socket));
-    }
-    if (ec != asio::error::would_block)
-        log(LogEvent::CallersNotAccepted, fmt::format("cause=\"{}\"", ec.message()));
-    m_acceptor->close(ec); // the acceptor is discarded, so an error has no effect
-}
-
 void EntryNode::handleRequest(
     RequestId id, const std::shared_ptr<const CallerRequest>& request, const std::shared_ptr<CallerSession>& session)
 {
     const auto& names = m_platform.headers;
+    while (!hasSocketBelow(m_maxSockets)) {
+        if (!makeRoomForSocket()) {
+            ++m_crowdedRequests;
+            CallerAnswer answer(http::status::service_unavailable, 11);
+            answer.set("X-Refusal-Reason", "crowded");
+            answer.set(http::field::retry_after, crowdedRetryAfter);
+            session->answer(id, std::move(answer));
+            return;
+        }
+    }
     m_pendingRequests.emplace(id,
         PendingRequest {
             session, request, currentTime(), asio::steady_timer(m_context), asio::steady_timer(m_context), {} });
@@ -270,6 +270,7 @@
 void EntryNode::tick()
 {
     dispatch(entry::Tick {});
+    m_callerMemory.setLimit(callerMemoryLimit());
     updateStoreSource();
     m_log.flush(currentTime());
     if (m_state.stopRequestedAt)
@@ -508,6 +509,17 @@
     addMetric("counter", "target_connections_opened_total", m_targetConnections.connectionsOpened());
     addMetric("gauge", "answer_memory_bytes", m_answerMemory.bytes());
     addMetric("counter", "answers_released_total", m_answerMemory.releasedAnswers());
+    addMetric("gauge", "caller_memory_bytes", m_callerMemory.bytes());
+    addMetric("gauge", "request_sockets", usedSockets());
+    addMetric("counter", "requests_refused_for_memory_total", m_callerMemory.refusedRequests());
+    addMetric("counter", "requests_refused_for_sockets_total", m_crowdedRequests);
+    text += "# TYPE arbutuscrank_caller_connections_closed_total counter\n";
+    text += fmt::format(
+        "arbutuscrank_caller_connections_closed_total{{cause=\"memory\"}} {}\n", m_callerMemory.closedConnections());
+    text += fmt::format("arbutuscrank_caller_connections_closed_total{{cause=\"sockets\"}} {}\n", m_crowdedConnections);
+    addMetric("counter", "get_connections_closed_total",
+        m_lookupServer.closedConnections() + m_readinessServer.closedConnections()
+            + m_inspectionServer.closedConnections());
     addMetric("counter", "log_lines_dropped_total", m_log.droppedLines());
     text += "# TYPE arbutuscrank_caller_connections_cut_total counter\n";
     for (const auto& [cause, count] : m_connectionCuts)
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -61,6 +61,13 @@
     // Handlers of input from callers, targets, other VMs and the store.
     void acceptCallers();
     void startSession(Tcp::socket socket);
+    /// Sockets of callers and targets.
+    [[nodiscard]] std::size_t usedSockets() const;
+    [[nodiscard]] bool hasSocketBelow(std::size_t limit) const;
+    /// Closes connections, those first whose loss costs least, until a new one fits. \returns false if none can close
+    bool makeRoomForSocket();
+    [[nodiscard]] std::uint64_t callerMemoryLimit() const;
+    [[nodiscard]] bool needsBody(const CallerRequest& request) const;
     /// Accepts the connections that wait in the listen queue and then no others.
     void stopListening();
     void handleRequest(RequestId id, const std::shared_ptr<const CallerRequest>& request,
@@ -123,6 +130,8 @@
     Metrics m_metrics;
     entry::EntryState m_state;
     AnswerMemory m_answerMemory;
+    CallerMemory m_callerMemory;
+    std::size_t m_maxSockets; ///< for callers and targets
     TargetConnections m_targetConnections;
     MessageSocket m_messageSocket;
     CallerHandlers m_callerHandlers;
@@ -148,6 +157,8 @@
     bool m_mustListAfterFailure = false; ///< a read of the policy has failed since the collections were last listed
     RequestId m_lastRequestId = 0;
     std::uint64_t m_failedStoreCalls = 0;
+    std::uint64_t m_crowdedConnections = 0; ///< callers' connections closed for another socket
+    std::uint64_t m_crowdedRequests = 0; ///< requests refused because no socket was left for them
     std::map<CloseCause, std::uint64_t> m_connectionCuts; ///< connections closed with data outstanding, by cause
     std::map<Collection, TimePoint> m_readConfirmedAt; ///< time as of which the newest read is confirmed
 };
--- a/src/node/http_get_server.cpp
+++ b/src/node/http_get_server.cpp
@@ -1,6 +1,9 @@
 #include "node/http_get_server.hpp"
 
+#include "node/clock.hpp"
+
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffer_traits.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 namespace arbutuscrank::node {
@@ -14,65 +17,120 @@
     /// Delay before a failed accept is retried, so that a shortage of file descriptors does not cause a busy loop.
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
-    class Session : public std::enable_shared_from_this<Session> {
-    public:
-        Session(Tcp::socket socket, std::shared_ptr<HttpGetServer::AsyncHandler> handler)
-            : m_socket(std::move(socket))
-            , m_timer(m_socket.get_executor())
-            , m_handler(std::move(handler))
-        {
-            setSocketOptions(m_socket, peerAckTimeout);
-        }
+    /// Limit on the bytes of a request that are read and not parsed yet.
+    constexpr std::size_t maxUnparsedRequestBytes = 16U << 10U;
+    /// Limit on the body of a request, which is not used.
+    constexpr std::uint64_t maxIgnoredBodyBytes = 64U << 10U;
 
-        void read()
-        {
-            m_request = {};
-            m_timer.expires_after(idleTimeout);
-            m_timer.async_wait([weak = weak_from_this()](SystemError ec) {
-                SystemError ignored;
-                if (const auto self = weak.lock(); self && !ec)
-                    self->m_socket.close(ignored); // the socket is discarded, so an error has no effect
-            });
-            http::async_read(m_socket, m_buffer, m_request, [self = shared_from_this()](SystemError ec, std::size_t) {
-                self->m_timer.cancel();
-                if (!ec)
-                    self->handle();
-            });
-        }
+    /// Body that is dropped as it arrives.
+    struct IgnoredBody {
+        struct value_type { };
 
-    private:
-        void handle()
-        {
-            if (m_request.method() != http::verb::get) {
-                write(makeAnswer(http::status::method_not_allowed, {}, "text/plain"));
-                return;
+        class reader {
+        public:
+            template <bool isRequest, typename Fields>
+            reader(http::header<isRequest, Fields>& /*head*/, value_type& /*body*/)
+            {
             }
-            const std::string_view target(m_request.target().data(), m_request.target().size());
-            (*m_handler)(
-                target, [self = shared_from_this()](HttpGetServer::Answer answer) { self->write(std::move(answer)); });
-        }
-
-        void write(HttpGetServer::Answer answer)
-        {
-            m_answer = std::move(answer);
-            m_answer.keep_alive(m_request.keep_alive());
-            m_answer.prepare_payload();
-            http::async_write(m_socket, m_answer, [self = shared_from_this()](SystemError ec, std::size_t) {
-                if (!ec && self->m_request.keep_alive())
-                    self->read();
-            });
-        }
-
-        Tcp::socket m_socket;
-        asio::steady_timer m_timer;
-        std::shared_ptr<HttpGetServer::AsyncHandler> m_handler;
-        boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
-        http::request<http::string_body> m_request;
-        HttpGetServer::Answer m_answer;
+            void init(const boost::optional<std::uint64_t>& /*length*/, SystemError& ec) { ec = {}; }
+            template <typename Buffers> std::size_t put(const Buffers& buffers, SystemError& ec)
+            {
+                ec = {};
+                return boost::beast::buffer_bytes(buffers);
+            }
+            void finish(SystemError& ec) { ec = {}; }
+        };
     };
 
 } // namespace
 
+class HttpGetServer::Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(Tcp::socket socket, std::shared_ptr<HttpGetServer::AsyncHandler> handler, bool limitsWriteTime)
+        : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_handler(std::move(handler))
+        , m_limitsWriteTime(limitsWriteTime)
+    {
+        setSocketOptions(m_socket, peerAckTimeout);
+    }
+
+    void read()
+    {
+        m_isReading = true;
+        m_readSince = currentTime();
+        m_parser.emplace();
+        m_parser->body_limit(maxIgnoredBodyBytes);
+        startTimer();
+        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](SystemError ec, std::size_t) {
+            self->m_timer.cancel();
+            self->m_isReading = false;
+            if (!ec)
+                self->handle();
+        });
+    }
+
+    void close()
+    {
+        SystemError ignored;
+        m_socket.close(ignored); // the socket is discarded, so an error has no effect
+    }
+
+    [[nodiscard]] bool isOpen() const { return m_socket.is_open(); }
+    [[nodiscard]] bool isReading() const noexcept { return m_isReading; }
+    [[nodiscard]] TimePoint readSince() const noexcept { return m_readSince; }
+
+private:
+    void startTimer()
+    {
+        m_timer.expires_after(idleTimeout);
+        m_timer.async_wait([weak = weak_from_this()](SystemError ec) {
+            if (const auto self = weak.lock(); self && !ec)
+                self->close();
+        });
+    }
+
+    void handle()
+    {
+        const auto request = m_parser->release();
+        m_parser.reset();
+        m_keepsAlive = request.keep_alive();
+        if (request.method() != http::verb::get) {
+            write(makeAnswer(http::status::method_not_allowed, {}, "text/plain"));
+            return;
+        }
+        const std::string_view target(request.target().data(), request.target().size());
+        (*m_handler)(
+            target, [self = shared_from_this()](HttpGetServer::Answer answer) { self->write(std::move(answer)); });
+    }
+
+    void write(HttpGetServer::Answer answer)
+    {
+        m_answer = std::move(answer);
+        m_answer.keep_alive(m_keepsAlive);
+        m_answer.prepare_payload();
+        if (m_limitsWriteTime)
+            startTimer();
+        http::async_write(m_socket, m_answer, [self = shared_from_this()](SystemError ec, std::size_t) {
+            self->m_timer.cancel();
+            self->m_answer = {};
+            if (!ec && self->m_keepsAlive && self->isOpen())
+                self->read();
+        });
+    }
+
+    Tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::shared_ptr<HttpGetServer::AsyncHandler> m_handler;
+    bool m_limitsWriteTime;
+    boost::beast::flat_buffer m_buffer { maxUnparsedRequestBytes };
+    std::optional<http::request_parser<IgnoredBody>> m_parser;
+    bool m_keepsAlive = false;
+    bool m_isReading = false;
+    TimePoint m_readSince {};
+    HttpGetServer::Answer m_answer;
+};
+
 HttpGetServer::Answer makeAnswer(http::status status, std::string body, std::string_view contentType)
 {
     HttpGetServer::Answer answer(status, 11);
@@ -109,13 +167,39 @@
         m_acceptor->close(ec); // the acceptor is discarded, so an error has no effect
 }
 
+void HttpGetServer::makeRoom()
+{
+    std::erase_if(m_sessions, [](const auto& weak) {
+        const auto session = weak.lock();
+        return !session || !session->isOpen();
+    });
+    if (m_sessions.size() < m_maxConnections)
+        return;
+    std::shared_ptr<Session> victim;
+    for (const auto& weak : m_sessions) {
+        const auto it = weak.lock();
+        const auto isBetter = [&] {
+            return it->isReading() != victim->isReading() ? it->isReading() : it->readSince() < victim->readSince();
+        };
+        if (!victim || isBetter())
+            victim = it;
+    }
+    ++m_closedConnections;
+    victim->close();
+}
+
 void HttpGetServer::accept()
 {
     m_acceptor->async_accept([this](SystemError ec, Tcp::socket socket) {
         if (ec == asio::error::operation_aborted)
             return;
         if (!ec) {
-            std::make_shared<Session>(std::move(socket), m_handler)->read();
+            const auto session = std::make_shared<Session>(std::move(socket), m_handler, m_maxConnections != 0);
+            if (m_maxConnections != 0) {
+                makeRoom();
+                m_sessions.push_back(session);
+            }
+            session->read();
             accept();
             return;
         }
--- a/src/node/http_get_server.hpp
+++ b/src/node/http_get_server.hpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 
@@ -33,15 +34,28 @@
 
     /// \brief Listens on "ip:port". \returns InvalidArgument or Unavailable with the address
     [[nodiscard]] Result<void> open(const std::string& address);
+    /// \brief Limits the open connections. Past the limit, the one that has waited longest is closed for a new one:
+    /// first among those that read a request, then among those whose answer is not taken.
+    void setMaxConnections(std::size_t n) { m_maxConnections = n; }
+
+    /// \brief Number of connections that were closed because of the limit.
+    [[nodiscard]] std::uint64_t closedConnections() const noexcept { return m_closedConnections; }
+
     /// \brief Stops accepting connections. Open connections stay.
     void close();
 
+    class Session;
+
 private:
     void accept();
+    void makeRoom();
 
     asio::io_context& m_context;
     std::shared_ptr<AsyncHandler> m_handler;
     std::optional<Tcp::acceptor> m_acceptor;
+    std::list<std::weak_ptr<Session>> m_sessions; ///< only if the connections are limited
+    std::size_t m_maxConnections = 0; ///< 0 means that they are not limited
+    std::uint64_t m_closedConnections = 0;
 };
 
 /// \brief Builds an answer with a body.
--- a/src/node/target_connections.cpp
+++ b/src/node/target_connections.cpp
@@ -64,6 +64,7 @@
     while (!idle.empty()) {
         auto last = std::move(idle.back());
         idle.pop_back();
+        --m_idleCount;
         const auto limit = std::min<Duration>(
             idleTimeLimit, std::chrono::duration_cast<Duration>(last.keepAliveTimeout * usedKeepAliveShare));
         SystemError ec;
@@ -79,8 +80,11 @@
     const std::string& target, std::shared_ptr<Tcp::socket> socket, Duration keepAliveTimeout)
 {
     auto& idle = m_idleConnections[target];
-    if (idle.size() >= maxIdlePerTarget)
+    if (idle.size() >= maxIdlePerTarget) {
         idle.erase(idle.begin());
+        --m_idleCount;
+    }
+    ++m_idleCount;
     // Data or a close while no request is in flight make the connection unusable.
     socket->async_wait(Tcp::socket::wait_read, [this, target, raw = socket.get()](SystemError ec) {
         if (!ec)
@@ -93,10 +97,32 @@
 {
     const auto it = m_idleConnections.find(target);
     if (it != m_idleConnections.end())
-        std::erase_if(it->second, [&](const IdleConnection& idle) { return idle.socket.get() == socket; });
+        m_idleCount
+            -= std::erase_if(it->second, [&](const IdleConnection& idle) { return idle.socket.get() == socket; });
+}
+
+bool TargetConnections::closeLongestIdle()
+{
+    std::vector<IdleConnection>* longest = nullptr;
+    for (auto& [target, idle] : m_idleConnections) {
+        if (!idle.empty() && (!longest || idle.front().idleSince < longest->front().idleSince))
+            longest = &idle;
+    }
+    if (!longest)
+        return false;
+    longest->erase(longest->begin());
+    --m_idleCount;
+    return true;
 }
 
-void TargetConnections::closeIdle(const std::string& target) { m_idleConnections.erase(target); }
+void TargetConnections::closeIdle(const std::string& target)
+{
+    const auto it = m_idleConnections.find(target);
+    if (it == m_idleConnections.end())
+        return;
+    m_idleCount -= it->second.size();
+    m_idleConnections.erase(it);
+}
 
 void TargetConnections::send(const entry::SendAttempt& attempt, const CallerRequest& request, Done done)
 {
--- a/src/node/target_connections.hpp
+++ b/src/node/target_connections.hpp
@@ -54,6 +54,12 @@
     /// \brief Closes the idle connections to a target.
     void closeIdle(const std::string& target);
 
+    /// \brief Closes the connection that has been idle for longest. \returns false if there is none
+    bool closeLongestIdle();
+
+    /// \brief Number of open connections, idle or not.
+    [[nodiscard]] std::size_t openConnections() const noexcept { return m_attempts.size() + m_idleCount; }
+
     [[nodiscard]] std::uint64_t connectionsOpened() const noexcept { return m_connectionsOpened; }
 
 private:
@@ -75,6 +81,7 @@
     std::map<entry::AttemptId, std::shared_ptr<TargetAttempt>> m_attempts;
     std::map<std::string, std::vector<IdleConnection>>
         m_idleConnections; ///< by target; the most recently used one is last
+    std::size_t m_idleCount = 0; ///< of \ref m_idleConnections
     std::uint64_t m_connectionsOpened = 0;
 };
 
