--- a/src/node/http_get_server.cpp
+++ b/src/node/http_get_server.cpp
@@ -24,9 +24,9 @@
 
     /// Body that is dropped as it arrives.
     struct IgnoredBody {
-        struct value_type { };
+        struct value_type { }; // NOLINT(readability-identifier-naming): the HTTP library looks up this name
 
-        class reader {
+        class reader { // NOLINT(readability-identifier-naming): the HTTP library looks up this name
         public:
             template <bool isRequest, typename Fields>
             reader(http::header<isRequest, Fields>& /*head*/, value_type& /*body*/)
--- a/src/node/request_body.hpp
+++ b/src/node/request_body.hpp
@@ -64,7 +64,7 @@
 
     static std::uint64_t size(const value_type& body) noexcept { return body.size(); }
 
-    class reader {
+    class reader { // NOLINT(readability-identifier-naming): the HTTP library looks up this name
     public:
         template <bool isRequest, typename Fields>
         reader(boost::beast::http::header<isRequest, Fields>& /*head*/, value_type& body)
@@ -89,7 +89,7 @@
         value_type& m_body;
     };
 
-    class writer {
+    class writer { // NOLINT(readability-identifier-naming): the HTTP library looks up this name
     public:
         using const_buffers_type = boost::asio::const_buffer;
 
