Count only what one region alone may serve as restricted

Found by a review of the split among regions: - A request that several regions may serve was booked on them in equal parts although it follows the split like any other. With every request allowed in all of three regions, the region with fewest targets got none. - Requests that are restricted to their callers' own region made every region count as shared, so that every object had one target. - A region without targets kept the demand that was booked on it. - The set of shared regions could change with each update; it now ends at 0.4 of the fair part, not at 0.5.

--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -31,8 +31,7 @@
 
 /// \brief What the admitted requests for one service consist of.
 struct ServiceMix {
-    /// Requests per second that their route or account restricts to some regions, by region. A request that several
-    /// regions may serve counts for each with an equal part.
+    /// Requests per second that their route or account restricts to a single region, by that region
     std::map<std::string, double, std::less<>> restrictedPerSecond;
     /// Work that callers ask for, refused requests included, by priority: requests per second times the seconds that
     /// a target usually works on one, which is the number of slots that they keep busy
--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -49,8 +49,8 @@
 /// \brief Requests per second by service and region of the callers.
 using DemandByRegion = std::map<std::string, std::map<std::string, double>>;
 
-/// \brief Part of the demand that is restricted to some regions: requests per second by service, region of the callers
-/// and region that serves them.
+/// \brief Part of the demand that is restricted to a single region: requests per second by service, region of the
+/// callers and region that serves them.
 using RestrictedDemand = std::map<std::string, std::map<std::string, std::map<std::string, double, std::less<>>>>;
 
 /// \brief Split of this region's requests for one service among regions.
@@ -60,8 +60,8 @@
 struct RegionSplit {
     /// Fraction of the affinity values by region, including this VM's; the sum is 1
     std::map<std::string, double> fractions;
-    /// Regions of which requests that have no other region use a large part. They serve the objects of callers of all
-    /// regions, so that an object gets one target there.
+    /// Regions of which other regions' callers use a large part, because no other region may serve their requests.
+    /// Such a region serves the objects of callers of all regions, so that an object gets one target there.
     std::set<std::string> sharedRegions;
     TimePoint updatedAt {};
 };
@@ -81,7 +81,7 @@
 
     /// \brief Recomputes the split of each service from demand and slots.
     /// \param demand summed over all VMs
-    /// \param restricted part of \p demand that only some regions may serve
+    /// \param restricted part of \p demand that only one region may serve
     void updateSplits(
         const TargetTable& targets, const DemandByRegion& demand, const RestrictedDemand& restricted, TimePoint now);
 
@@ -98,10 +98,15 @@
     struct UnrestrictedDemand {
         std::map<std::string, double> perSecond; ///< that any region may serve, by region of the callers
         std::map<std::string, double> restrictedTo; ///< that is restricted to a region, by that region
+        std::map<std::string, double> fromElsewhere; ///< part of \ref restrictedTo from callers of other regions
+
+        /// Takes a region's restricted requests out of \ref perSecond. \param slots by region with targets
+        void subtract(const std::string& callers, const std::map<std::string, double, std::less<>>& restricted,
+            const std::map<std::string, double>& slots);
     };
 
-    [[nodiscard]] static std::set<std::string> sharedRegions(
-        const std::map<std::string, double>& slots, const UnrestrictedDemand& demand);
+    [[nodiscard]] static std::set<std::string> sharedRegions(const std::map<std::string, double>& slots,
+        const UnrestrictedDemand& demand, const std::set<std::string>& before);
     [[nodiscard]] std::map<std::string, double> desiredFractions(
         const std::map<std::string, double>& slots, const UnrestrictedDemand& demand) const;
     [[nodiscard]] static const Candidate* leastLoaded(std::span<const Candidate> candidates, double maxLoad);
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -76,7 +76,7 @@
         return std::string_view(request.affinity).substr(std::min(request.affinity.size(), request.route.size() + 1));
     }
 
-    /// Regions to which the route and the account restrict a request; empty if all may serve it.
+    /// Regions to which the route and the account restrict a request; empty if all may serve it, or none.
     std::vector<std::string> permittedRegions(const Request& request)
     {
         if (request.routeRegions.empty() || request.accountRegions.empty())
@@ -121,9 +121,8 @@
         auto& demand = state.serviceDemand[request.service];
         ++demand.admittedSinceUpdate;
         demand.workSinceUpdate[request.priority] += state.room.meanWork(request.route);
-        const auto regions = permittedRegions(request);
-        for (const auto& region : regions)
-            demand.restrictedSinceUpdate[region] += 1.0 / static_cast<double>(regions.size());
+        if (const auto regions = permittedRegions(request); regions.size() == 1)
+            ++demand.restrictedSinceUpdate[regions.front()];
     }
 
     void send(
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -31,9 +31,12 @@
     constexpr Duration startupTime = std::chrono::seconds(3);
     /// Minimum spare capacity of a region, as a fraction of its slots.
     constexpr double minSpareFraction = 0.02;
-    /// Restricted demand from which a region counts as shared, as a fraction of the demand that its slots would take in
-    /// an even spread over the fleet.
+    /// Restricted demand of other regions' callers from which a region counts as shared, and below which it no longer
+    /// does, as a fraction of the demand that its slots would take in an even spread over the fleet.
     constexpr double sharedRegionFraction = 0.5;
+    constexpr double sharedRegionEndFraction = 0.4;
+    /// Unrestricted demand for a service, in requests per second, below which it counts as not reported.
+    constexpr double minReportedDemand = 0.01;
     /// Hash seed that decides whether an affinity value stays in its region.
     constexpr std::uint64_t localityHashSeed = 2;
     bool isListed(const std::vector<std::string>* list, const std::string& name)
@@ -73,23 +76,6 @@
             fractions[region] += stepFraction * (fraction - fractions[region]);
     }
 
-    /// Takes the restricted requests out of the demand of their callers' regions, and sums them by the region that
-    /// serves them.
-    void subtractRestricted(const std::map<std::string, std::map<std::string, double, std::less<>>>& restricted,
-        std::map<std::string, double>& demand, std::map<std::string, double>& restrictedTo)
-    {
-        for (const auto& [callers, byRegion] : restricted) {
-            const auto it = demand.find(callers);
-            if (it == demand.end())
-                continue;
-            for (const auto& [region, perSecond] : byRegion) {
-                const double part = std::min(it->second, perSecond);
-                it->second -= part;
-                restrictedTo[region] += part;
-            }
-        }
-    }
-
     double sumOf(const std::map<std::string, double>& values)
     {
         return std::accumulate(
@@ -264,10 +250,12 @@
         UnrestrictedDemand unrestricted;
         if (const auto it = demand.find(service); it != demand.end())
             unrestricted.perSecond = it->second;
-        if (const auto it = restricted.find(service); it != restricted.end())
-            subtractRestricted(it->second, unrestricted.perSecond, unrestricted.restrictedTo);
+        if (const auto it = restricted.find(service); it != restricted.end()) {
+            for (const auto& [callers, byRegion] : it->second)
+                unrestricted.subtract(callers, byRegion, bySlots);
+        }
         auto& split = m_splits[service];
-        split.sharedRegions = sharedRegions(bySlots, unrestricted);
+        split.sharedRegions = sharedRegions(bySlots, unrestricted, split.sharedRegions);
         const auto desired = desiredFractions(bySlots, unrestricted);
         const double elapsed = std::chrono::duration<double>(now - split.updatedAt).count();
         const double step = shiftFractionPerSecond * m_bounds.maxRegionShift * elapsed;
@@ -279,15 +267,33 @@
     }
 }
 
+void TargetSelection::UnrestrictedDemand::subtract(const std::string& callers,
+    const std::map<std::string, double, std::less<>>& restricted, const std::map<std::string, double>& slots)
+{
+    const auto own = perSecond.find(callers);
+    if (own == perSecond.end())
+        return;
+    for (const auto& [region, n] : restricted) {
+        const double part = std::min(own->second, n);
+        own->second -= part;
+        if (!slots.contains(region))
+            continue; // no target may serve them
+        restrictedTo[region] += part;
+        if (region != callers)
+            fromElsewhere[region] += part;
+    }
+}
+
 std::set<std::string> TargetSelection::sharedRegions(
-    const std::map<std::string, double>& slots, const UnrestrictedDemand& demand)
+    const std::map<std::string, double>& slots, const UnrestrictedDemand& demand, const std::set<std::string>& before)
 {
     const double totalSlots = sumOf(slots);
     const double all = sumOf(demand.perSecond) + sumOf(demand.restrictedTo);
     std::set<std::string> out;
     for (const auto& [region, n] : slots) {
-        const auto it = demand.restrictedTo.find(region);
-        if (it != demand.restrictedTo.end() && it->second > sharedRegionFraction * all * n / totalSlots)
+        const auto it = demand.fromElsewhere.find(region);
+        const double limit = before.contains(region) ? sharedRegionEndFraction : sharedRegionFraction;
+        if (it != demand.fromElsewhere.end() && it->second > limit * all * n / totalSlots)
             out.insert(region);
     }
     return out;
@@ -301,7 +307,7 @@
         return it == values.end() ? 0.0 : it->second;
     };
     const double totalSlots = sumOf(slots);
-    const double reported = sumOf(demand.perSecond);
+    const double reported = sumOf(demand.perSecond) < minReportedDemand ? 0 : sumOf(demand.perSecond);
     // Without reported demand, all regions with targets are assumed to have equal demand.
     const auto demandOf = [&](const std::string& region) {
         return reported <= 0 ? 1.0 / static_cast<double>(slots.size()) : valueOf(demand.perSecond, region);
