Count the slots of targets 1.2 times when room is shared

The learned work of a request contains its way to the target and back, which keeps no slot busy, so that nine tenths of the slots left room unused.

--- a/src/entry/reduce_room.cpp
+++ b/src/entry/reduce_room.cpp
@@ -10,14 +10,18 @@
 
 namespace {
 
-    /// Slots by service of the targets that take requests.
+    /// Room of a target in multiples of its slots. The learnt work of a request contains its way to the target and back,
+    /// which keeps no slot busy.
+    constexpr double roomPerSlot = 1.2;
+
+    /// Room by service of the targets that take requests, in slots.
     std::map<std::string, double> availableSlots(const EntryState& state, TimePoint now)
     {
         std::map<std::string, double> out;
         for (const auto& [id, target] : state.targets.all()) {
             if (!state.targets.isInService(target) || target.ejection != Ejection::None || target.isPaused(now))
                 continue;
-            double slots = target.record.slots;
+            double slots = target.record.slots * roomPerSlot;
             const double work = state.room.meanServiceWork(target.record.service);
             if (const auto rate = allowedRate(state.targets, target, state.policy, now); rate && work > 0)
                 slots = std::min(slots, *rate * work);
