Hand out ports for tests below those of outgoing connections

EntryNodeFailure.WatchesThatMissAChangeOfTheStoreAreSentAgain failed once, since its node could not start to listen: freeAddress() took a port from the range that the system gives to outgoing connections, and released it before the node used it. Another test process had hundreds of connections at that time. Ports now come from 10000 to 29999, a different one with each call.

Also formats a comment.

--- a/src/entry/reduce_room.cpp
+++ b/src/entry/reduce_room.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    /// Room of a target in multiples of its slots. The learnt work of a request contains its way to the target and back,
-    /// which keeps no slot busy.
+    /// Room of a target in multiples of its slots. The learnt work of a request contains its way to the target and
+    /// back, which keeps no slot busy.
     constexpr double roomPerSlot = 1.2;
 
     /// Room by service of the targets that take requests, in slots.
--- a/tests/node/loopback.hpp
+++ b/tests/node/loopback.hpp
@@ -7,21 +7,35 @@
 #include <boost/asio/write.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <thread>
+#include <unistd.h>
 
 /// \file
 /// \brief Loopback server whose connections a test scripts, and helpers for sockets and the event loop.
 
 namespace arbutuscrank::node::test {
 
-/// \brief "ip:port" on loopback on which nothing listens.
+/// \brief "ip:port" on loopback on which nothing listens. Each call of a process returns another port. The ports are
+/// below those that the system gives to outgoing connections, which could take one before the test listens on it.
 inline std::string freeAddress()
 {
-    asio::io_context context;
-    const Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    constexpr unsigned firstPort = 10000;
+    constexpr unsigned portCount = 20000;
+    static unsigned next = static_cast<unsigned>(::getpid()) * 64;
+    for (unsigned tries = 0; tries < portCount; ++tries) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        asio::io_context context;
+        Tcp::acceptor acceptor(context, Tcp::v4());
+        SystemError ec;
+        acceptor.bind({ asio::ip::address_v4::loopback(), port }, ec);
+        if (!ec)
+            return "127.0.0.1:" + std::to_string(port);
+    }
+    throw std::runtime_error("no port is free on loopback");
 }
 
 /// \brief Accepts connections one after the other and runs a script on each. The script runs on the thread of the
