--- a/tests/entry/room_sharing_test.cpp
+++ b/tests/entry/room_sharing_test.cpp
@@ -241,6 +241,21 @@
     RC_ASSERT(admittedWork >= 0.9 * room - bound);
 }
 
+// Guards against shares by the priority of accounts where no route of the service is urgent.
+TEST(RoomSharing, ServiceWithoutAnUrgentRouteKeepsTheLimitsOfItsTargets)
+{
+    for (const bool isUrgent : { false, true }) {
+        auto policy = makePolicy();
+        policy.routes[1].priority = isUrgent ? 0 : 2;
+        Entry entry(1, policy);
+        entry.useTargets({ makeTarget("t1") });
+        const ServiceMixes mixes { { "cart", { {}, { { 0, 6 }, { 1, 30 } } } } };
+        entry.state.serviceDemand["cart"].mix = mixes.at("cart");
+        entry.handle(Tick {});
+        EXPECT_EQ(entry.state.room.sharedServiceCount(), isUrgent ? 1U : 0U);
+    }
+}
+
 // Guards against a rejection that is not reported as "not run", keeps the token of the quota, or sends an attempt.
 TEST(RoomSharing, RejectedRequestIsAnsweredAsNotRun)
 {
@@ -288,7 +303,9 @@
 // Guards against shares that outlive the reports that they follow from, when the coordinator is lost.
 TEST(RoomSharing, EndsWhenNoDigestArrives)
 {
-    Entry entry;
+    auto policy = makePolicy();
+    policy.routes[1].priority = 0;
+    Entry entry(1, policy);
     entry.useTargets({ makeTarget("t1") });
     entry.handle(MembersListed { { { .process = { "vm0", 1 },
         .region = "north",
