--- a/include/arbutuscrank/entry/settings.hpp
+++ b/include/arbutuscrank/entry/settings.hpp
@@ -47,6 +47,7 @@
     std::string metricsAddress; ///< "ip:port" for metrics and the state dump
     std::string storeAddress; ///< "ip:port" of the store
     double capacity = 0; ///< processor cores available to this VM; determines its rank as coordinator
+    bool sharesRoom = false; ///< shares the room of services by priority while callers ask for more, see RoomSharing
     std::uint64_t memoryBytes = 256U << 20U; ///< memory available to the process
     std::uint32_t maxSockets = 824; ///< sockets that the process may open
     std::map<std::string, std::string> regionOfFailureDomain;
--- a/src/entry/reduce_room.cpp
+++ b/src/entry/reduce_room.cpp
@@ -5,8 +5,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <set>
-#include <string_view>
 
 namespace arbutuscrank::entry {
 
@@ -32,19 +30,6 @@
         return out;
     }
 
-    /// Services that a route of the highest priority may use.
-    std::set<std::string_view> urgentServices(const TrafficPolicy& policy)
-    {
-        std::set<std::string_view> out;
-        for (const auto& route : policy.routes) {
-            for (const auto& part : route.services) {
-                if (route.priority == 0)
-                    out.insert(part.service);
-            }
-        }
-        return out;
-    }
-
     std::string describe(const AdmittedFractions& fractions)
     {
         std::string out;
@@ -57,16 +42,16 @@
 
 void updateRoomSharing(EntryState& state, double elapsedSeconds, TimePoint now, Effects& out)
 {
+    if (!state.settings.sharesRoom)
+        return;
     static const ServiceMix noDemand;
     const auto mixes = fleetMixes(state, now);
     const auto slots = availableSlots(state, now);
-    const auto urgent = urgentServices(state.policy.policy());
     for (const auto& service : state.policy.policy().services) {
         const auto mix = mixes.find(service.name);
         const auto found = slots.find(service.name);
         const double room = found == slots.end() ? 0 : found->second;
-        const bool isShared = mix != mixes.end() && urgent.contains(service.name);
-        const auto& work = (isShared ? mix->second : noDemand).slotsByPriority;
+        const auto& work = (mix == mixes.end() ? noDemand : mix->second).slotsByPriority;
         const auto change = state.room.update(service.name, room, work, elapsedSeconds);
         if (!change)
             continue;
--- a/tests/entry/entry_harness.hpp
+++ b/tests/entry/entry_harness.hpp
@@ -56,6 +56,7 @@
     settings.vm = "vm1";
     settings.region = "north";
     settings.failureDomain = "north-a";
+    settings.sharesRoom = true;
     settings.regionOfFailureDomain = { { "north-a", "north" }, { "south-a", "south" } };
     return settings;
 }
--- a/tests/entry/room_sharing_test.cpp
+++ b/tests/entry/room_sharing_test.cpp
@@ -241,18 +241,17 @@
     RC_ASSERT(admittedWork >= 0.9 * room - bound);
 }
 
-// Guards against shares by the priority of accounts where no route of the service is urgent.
-TEST(RoomSharing, ServiceWithoutAnUrgentRouteKeepsTheLimitsOfItsTargets)
+// Guards against shares on deployments that did not ask for them.
+TEST(RoomSharing, IsOffUnlessTheSettingsAskForIt)
 {
-    for (const bool isUrgent : { false, true }) {
-        auto policy = makePolicy();
-        policy.routes[1].priority = isUrgent ? 0 : 2;
-        Entry entry(1, policy);
+    for (const bool sharesRoom : { false, true }) {
+        auto settings = makeSettings();
+        settings.sharesRoom = sharesRoom;
+        Entry entry(1, makePolicy(), settings);
         entry.useTargets({ makeTarget("t1") });
-        const ServiceMixes mixes { { "cart", { {}, { { 0, 6 }, { 1, 30 } } } } };
-        entry.state.serviceDemand["cart"].mix = mixes.at("cart");
+        entry.state.serviceDemand["cart"].mix = { .slotsByPriority = { { 0, 6 }, { 1, 30 } } };
         entry.handle(Tick {});
-        EXPECT_EQ(entry.state.room.sharedServiceCount(), isUrgent ? 1U : 0U);
+        EXPECT_EQ(entry.state.room.sharedServiceCount(), sharesRoom ? 1U : 0U);
     }
 }
 
@@ -303,9 +302,7 @@
 // Guards against shares that outlive the reports that they follow from, when the coordinator is lost.
 TEST(RoomSharing, EndsWhenNoDigestArrives)
 {
-    auto policy = makePolicy();
-    policy.routes[1].priority = 0;
-    Entry entry(1, policy);
+    Entry entry;
     entry.useTargets({ makeTarget("t1") });
     entry.handle(MembersListed { { { .process = { "vm0", 1 },
         .region = "north",
