--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -235,6 +235,7 @@
     void sendFromCrowd(int count, int port, const std::function<void(int)>& send)
     {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(count));
         std::mutex mutex;
         for (int i = 0; i < count; ++i)
             threads.emplace_back([&] {
