Give each process of the check's tests a directory of its own

Tests that ran side by side wrote the same files: CheckCommand.ExitStatusTellsErrorsFromWarnings failed once in a whole run, and passes alone.

--- a/tests/config/advice_test.cpp
+++ b/tests/config/advice_test.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <unistd.h>
 
 namespace {
 
@@ -51,7 +52,8 @@
         return code;
     }
 
-    std::filesystem::path directory = std::filesystem::path(testing::TempDir()) / "arbutuscrank-check";
+    std::filesystem::path directory
+        = std::filesystem::path(testing::TempDir()) / ("arbutuscrank-check-" + std::to_string(::getpid()));
     std::string out;
     std::string err;
 };
