Keep the stand-ins of the hostile-callers tests until the process ends

Destroying the store's condition variable also waited for watches of up to 25 s, so that each of the 75 tests took 25 s. The tests now make stand-ins that are never destroyed. Crowds, bounds and checks are unchanged.

--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -30,6 +30,13 @@
 constexpr int fieldCrowd = 40;
 constexpr int pipelineCrowd = 8;
 
+/// \brief Makes a stand-in that is never destroyed: its threads use it until the process has ended, also while static
+/// objects are destroyed.
+template <typename T, typename... Arguments> T& makeLastingStandIn(Arguments&&... arguments)
+{
+    return *std::make_unique<T>(std::forward<Arguments>(arguments)...).release();
+}
+
 /// \brief The process under test.
 class EntryProcess {
 public:
@@ -136,9 +143,9 @@
 struct HostileCallers : testing::Test {
     HostileCallers()
         : folder(makeFolder())
-        , store(makeStandIn<Store>(loopback(1)))
-        , target(makeStandIn<Target>(loopback(20), "i-1", "s-1", "dk-east-a", 64))
-        , busyTarget(makeStandIn<Target>(loopback(21), "i-2", "s-2", "dk-east-a", 512))
+        , store(makeLastingStandIn<Store>(loopback(1)))
+        , target(makeLastingStandIn<Target>(loopback(20), "i-1", "s-1", "dk-east-a", 64))
+        , busyTarget(makeLastingStandIn<Target>(loopback(21), "i-2", "s-2", "dk-east-a", 512))
     {
         store.put("config", "main", makeLimitedConfiguration());
         target.work = [](const Message& request) {
