Take no request in a stop behind an answer that waits for an earlier one

Callers that read 300 KB/s saw their connection reset at the end of a planned stop, with answers of requests that had run.

Cause: a stop takes no further request from a caller that leaves answers undelivered, but answers that are ready and wait for an earlier request of their connection did not count.

Change: a session with such an answer reads no further request in a stop.

Measured: StopTakesNoRequestBehindAnAnswerThatWaitsForAnEarlierOne failed before and passes now.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -425,7 +425,9 @@
     if (!m_handlers.isStopping() || hasNoUnansweredRequest())
         return;
     // Further answers might not reach the caller before the process ends.
-    if (m_isWriting || undeliveredBytes() > maxUndeliveredBytesInStop)
+    const bool isAnswerWaiting
+        = std::ranges::any_of(m_pendingAnswers, [](const auto& it) { return it.answer.has_value(); });
+    if (m_isWriting || isAnswerWaiting || undeliveredBytes() > maxUndeliveredBytesInStop)
         m_hasReadLastRequest = true;
 }
 
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -143,7 +143,8 @@
     /// Whether a request, or a part of one, has arrived that is still to be answered.
     [[nodiscard]] bool isReceivingRequest() const;
     void waitForRequest();
-    /// In a planned stop, takes no request behind an answer that its caller does not take as fast as it is written.
+    /// In a planned stop, takes no request behind an answer that waits for an earlier one, or that its caller does not
+    /// take as fast as it is written.
     void stopReadingIfCallerIsSlow();
     void waitForBytes();
     /// Reads and parses what has arrived of the request, and waits for more unless it is whole.
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -457,6 +457,25 @@
     EXPECT_EQ(receivedRequests.size(), 2U);
 }
 
+// Guards against requests that a planned stop takes behind a long one, and whose answers wait for it until too little
+// time is left for a caller that reads slowly.
+TEST_F(CallerSessionFailure, StopTakesNoRequestBehindAnAnswerThatWaitsForAnEarlierOne)
+{
+    writeText(caller, get("/1") + get("/2"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 2; }));
+    isStopping = true;
+    answer(2, "second");
+    writeText(caller, get("/3"));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(receivedRequests.size(), 2U);
+    answer(1, "first");
+    const auto text = readAvailable(100000);
+    EXPECT_LT(text.find("first"), text.find("second"));
+    EXPECT_LT(text.find("Connection: close"), text.find("second"));
+    EXPECT_EQ(receivedRequests.size(), 2U);
+}
+
 // Guards against a log that does not say what was lost with a connection.
 TEST_F(CallerSessionFailure, OutstandingDataAreReportedWhenTheProcessEnds)
 {
