--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs all benchmarks one at a time, so that they do not compete for the CPU. docs/CAPACITY.md cites their results.
+# Runs all benchmarks one at a time, so that they do not compete for the CPU. docs/capacity-of-arbutuscrankd.md cites their results.
 # Usage: bench.sh BUILD_DIR
 set -euo pipefail
 build=$1
