Ignore reported demand while all VMs start

After a loss of power of all VMs, those near the store are ready 0.6 s before the others. The split among regions followed the reported demand at once, and only their region had reported any. They therefore sent 36% of their requests to other regions, whose targets had not loaded the objects, and the smallest region kept 98% of its own instead of a third.

A VM's average demand is the mean until its time constant has passed, so that VMs which started at different times report comparable rates.

--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -65,7 +65,8 @@
 
 /// \brief Rate of admitted requests for one service at this VM.
 struct AdmittedRate {
-    double perSecond = 0; ///< smoothed rate
+    double perSecond = 0; ///< smoothed rate; the mean until requests have been counted for the smoothing time
+    double countedSeconds = 0; ///< time since the first request
     std::uint32_t admittedSinceUpdate = 0; ///< requests admitted since the last update of \ref perSecond
     ServiceMix mix; ///< smoothed
     std::map<std::string, double, std::less<>> restrictedSinceUpdate; ///< requests by region, as in \ref ServiceMix
--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -79,6 +79,9 @@
     /// \brief Selects a target. The calling code must count the attempt in \ref Target::inFlight.
     [[nodiscard]] TargetChoice choose(TargetTable& targets, const Placement& placement, TimePoint now);
 
+    /// \brief Whether the split follows the demand immediately, because this VM has just started.
+    [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
+
     /// \brief Recomputes the split of each service from demand and slots.
     /// \param demand summed over all VMs
     /// \param restricted part of \p demand that only one region may serve
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -33,6 +33,10 @@
     constexpr double notReadyAgeFraction = 0.6;
     /// Time constant of the demand average on which splits between regions are based.
     constexpr double demandSmoothingSeconds = 6;
+    /// Time from the start of a fleet in which its reported demand is ignored. VMs become ready at different times, by
+    /// their distance from the store, and admit little at first, so the demand shows who is ready and not where the
+    /// callers are. It ends before the time in which a VM that starts follows the demand at once.
+    constexpr Duration fleetStartTime = milliseconds(2500);
     /// Time constant of the average of the work by priority, which has to follow a burst.
     constexpr double workSmoothingSeconds = 0.8;
     /// Averages of amounts per second below this are not reported.
@@ -73,9 +77,12 @@
 
     void updateDemand(EntryState& state, double elapsedSeconds)
     {
-        const double weight = 1 - std::exp(-elapsedSeconds / demandSmoothingSeconds);
+        const double smoothingWeight = 1 - std::exp(-elapsedSeconds / demandSmoothingSeconds);
         const double workWeight = 1 - std::exp(-elapsedSeconds / workSmoothingSeconds);
         for (auto& [service, demand] : state.serviceDemand) {
+            // VMs that start at different times report comparable rates, which an average that rises from zero is not.
+            demand.countedSeconds += elapsedSeconds;
+            const double weight = std::max(smoothingWeight, elapsedSeconds / demand.countedSeconds);
             demand.perSecond += weight * (demand.admittedSinceUpdate / elapsedSeconds - demand.perSecond);
             demand.admittedSinceUpdate = 0;
             updateAverages(demand.mix.restrictedPerSecond, demand.restrictedSinceUpdate, elapsedSeconds, weight);
@@ -525,6 +532,13 @@
         return out;
     }
 
+    /// Whether all VMs have started recently, as after a loss of power. A VM that starts alone hears of longer uptimes.
+    bool isFleetStarting(const EntryState& state, TimePoint now)
+    {
+        const auto uptime = std::max(ownStoreUptime(state, now), storeUptimeElsewhere(state, now));
+        return state.selection.isStarting(now) && uptime < fleetStartTime;
+    }
+
     RestrictedDemand restrictedDemand(const EntryState& state, TimePoint now)
     {
         RestrictedDemand out;
@@ -766,7 +780,10 @@
     state.domainReports.expire(now);
     state.quota.updateShares(otherDomains(state), now);
     updateOthersInFlight(state, now);
-    state.selection.updateSplits(state.targets, demandByService(state, now), restrictedDemand(state, now), now);
+    if (isFleetStarting(state, now))
+        state.selection.updateSplits(state.targets, {}, {}, now);
+    else
+        state.selection.updateSplits(state.targets, demandByService(state, now), restrictedDemand(state, now), now);
     updateColdnessKnowledge(state, now, out);
     releaseEarlierEra(state, now, out);
     updateRateShares(state.targets, state.policy, state.members, now);
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -234,6 +234,11 @@
     return leastLoaded(homes, maxLoad);
 }
 
+bool TargetSelection::isStarting(TimePoint now) const noexcept
+{
+    return m_firstSplitAt && now - *m_firstSplitAt < startupTime;
+}
+
 void TargetSelection::updateSplits(
     const TargetTable& targets, const DemandByRegion& demand, const RestrictedDemand& restricted, TimePoint now)
 {
@@ -245,7 +250,6 @@
     std::erase_if(m_splits, [&](const auto& item) { return !slots.contains(item.first); });
     if (!slots.empty() && !m_firstSplitAt)
         m_firstSplitAt = now;
-    const bool isStarting = m_firstSplitAt && now - *m_firstSplitAt < startupTime;
     for (const auto& [service, bySlots] : slots) {
         UnrestrictedDemand unrestricted;
         if (const auto it = demand.find(service); it != demand.end())
@@ -260,7 +264,7 @@
         const double elapsed = std::chrono::duration<double>(now - split.updatedAt).count();
         const double step = shiftFractionPerSecond * m_bounds.maxRegionShift * elapsed;
         split.updatedAt = now;
-        if (isStarting)
+        if (isStarting(now))
             split.fractions = desired;
         else
             stepTowards(split.fractions, desired, step, shiftDeadBand);
