Let lists of a feed wait for the coordinator's first read

A VM that starts lists its coordinator's feed as soon as it knows the coordinator. In a region away from the store the coordinator needs 0.25 s for its own first read. It refused the lists until then, and the VMs tried again up to 0.24 s later.

A list that arrives before the first read, while no read has failed, now waits for it, up to 0.5 s. A failure, a change of source and a new era of the store refuse waiting lists, as they do watches.

SharedStoreFailure.AListWaitsForTheFirstReadOfACoordinatorThatStarts and AListFailsAtOnceWhenTheFirstReadOfItsCoordinatorFails fail on the old decision.

--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -20,6 +20,9 @@
     constexpr std::string_view feedPath = "/v1/feed/";
     /// Timeout of a list. The feed answers from memory, but a configuration of 1 MB is sent to all its readers at once.
     constexpr Duration listTimeout = milliseconds(1500);
+    /// Time for which a list waits for the first read of a VM that starts. Its reader retries refused lists for 1.5 s
+    /// before it counts the feed as failed. A read of the store takes 250 ms in a distant region.
+    constexpr Duration firstReadWait = milliseconds(500);
     /// Time that the answer of a watch may take after the end of its wait.
     constexpr Duration watchAnswerMargin = milliseconds(450);
     /// Greatest age of the last confirmation of the policy with which the feed is served. An answered watch confirms
@@ -296,6 +299,12 @@
         && currentTime() - *m_confirmedAt < maxPolicyAge;
 }
 
+bool SharedStore::isFirstRead(Collection collection) const
+{
+    return m_source.empty() && !m_hasRefusedReads && !canServe(collection)
+        && (!m_confirmedAt || !m_caches.contains(collection));
+}
+
 void SharedStore::serve(std::string_view target, HttpGetServer::Reply reply)
 {
     const auto queryStart = std::min(target.find('?'), target.size());
@@ -314,36 +323,58 @@
         reply(makeRefusal(http::status::gone));
         return;
     }
+    const bool isList = query.starts_with("?list");
+    if (isList && isFirstRead(collection)) {
+        wait(Waiter { .collection = collection,
+                 .isList = true,
+                 .receivedAt = currentTime(),
+                 .reply = std::move(reply),
+                 .timer = asio::steady_timer(m_context) },
+            firstReadWait);
+        return;
+    }
     if (!canServe(collection)) {
         reply(makeRefusal(http::status::service_unavailable));
         return;
     }
-    if (query.starts_with("?list")) {
-        const auto& cache = m_caches.at(collection);
-        const auto& encoded
-            = encodeOnce(m_encodedListings[collection], cache.revision(), 0, [&] { return encode(cache.listing()); });
-        reply(makeAnswer(
-            http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - currentTime()), "application/json"));
+    if (isList) {
+        replyListing(collection, currentTime(), reply);
         return;
     }
-    const auto wait = milliseconds(queryNumber(query, "waitMs"));
+    wait(Waiter { .collection = collection,
+             .revision = queryNumber(query, "watch"),
+             .era = era,
+             .receivedAt = currentTime(),
+             .reply = std::move(reply),
+             .timer = asio::steady_timer(m_context) },
+        milliseconds(queryNumber(query, "waitMs")));
+}
+
+void SharedStore::wait(Waiter newWaiter, Duration duration)
+{
     const auto id = ++m_lastWaiterId;
-    auto& waiter = m_waiters
-                       .emplace(id,
-                           Waiter { collection, queryNumber(query, "watch"), era, currentTime(), std::move(reply),
-                               asio::steady_timer(m_context, wait) })
-                       .first->second;
-    if (hasChanges(waiter)) {
+    auto& waiter = m_waiters.emplace(id, std::move(newWaiter)).first->second;
+    if (!waiter.isList && hasChanges(waiter)) {
         answer(id);
         return;
     }
     // The timer may expire in the same event loop iteration in which the waiter is answered, so answer() looks it up.
+    waiter.timer.expires_after(duration);
     waiter.timer.async_wait([this, id](SystemError ec) {
         if (!ec)
             answer(id);
     });
 }
 
+void SharedStore::replyListing(Collection collection, TimePoint receivedAt, const HttpGetServer::Reply& reply)
+{
+    const auto& cache = m_caches.at(collection);
+    const auto& encoded
+        = encodeOnce(m_encodedListings[collection], cache.revision(), 0, [&] { return encode(cache.listing()); });
+    reply(
+        makeAnswer(http::status::ok, addConfirmation(encoded, m_era, *m_confirmedAt - receivedAt), "application/json"));
+}
+
 bool SharedStore::hasChanges(const Waiter& waiter) const
 {
     const auto& cache = m_caches.at(waiter.collection);
@@ -358,7 +389,7 @@
     const auto node = m_waiters.extract(id);
     if (node.empty())
         return; // answered already
-    const auto& [collection, revision, era, receivedAt, reply, timer] = node.mapped();
+    const auto& [collection, isList, revision, era, receivedAt, reply, timer] = node.mapped();
     if (hasOtherEra(era)) {
         reply(makeRefusal(http::status::gone));
         return;
@@ -367,6 +398,10 @@
         reply(makeRefusal(http::status::service_unavailable));
         return;
     }
+    if (isList) {
+        replyListing(collection, receivedAt, reply);
+        return;
+    }
     const auto& cache = m_caches.at(collection);
     const auto changes = cache.changesAfter(revision);
     if (!changes) {
@@ -392,7 +427,11 @@
     std::vector<WaiterId> dueWaiters;
     for (const auto& [id, waiter] : m_waiters) {
         // Readers get each confirmation of the policy, because they serve requests with keys only while it is fresh.
-        if (waiter.collection == collection && (collection == Collection::Policy || hasChanges(waiter)))
+        // Lists wait for it too.
+        if (waiter.isList) {
+            if (canServe(waiter.collection))
+                dueWaiters.push_back(id);
+        } else if (waiter.collection == collection && (collection == Collection::Policy || hasChanges(waiter)))
             dueWaiters.push_back(id);
     }
     for (const auto id : dueWaiters)
@@ -410,6 +449,7 @@
 
 void SharedStore::refuseFeedReads()
 {
+    m_hasRefusedReads = true;
     m_confirmedAt.reset();
     while (!m_waiters.empty())
         answer(m_waiters.begin()->first);
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -59,9 +59,10 @@
         Collection collection, const std::string& name, ObjectVersion revision, Handler<ObjectVersion> done) override;
 
 private:
-    /// A watch of the feed that has not been answered.
+    /// A watch of the feed that has not been answered, or a list that waits for the first read of the collection.
     struct Waiter {
         Collection collection {};
+        bool isList = false;
         std::uint64_t revision = 0;
         StoreEra era = 0; ///< of the revision; 0 if unknown
         TimePoint receivedAt {};
@@ -96,11 +97,15 @@
     [[nodiscard]] HttpChannel& feedChannel(Collection collection);
     void recordConfirmation(Collection collection, TimePoint sentAt);
     [[nodiscard]] bool canServe(Collection collection) const;
+    /// Whether this VM has started and reads a collection for the first time, as far as known without a failure.
+    [[nodiscard]] bool isFirstRead(Collection collection) const;
     /// Fails all waiting watches and refuses reads until the store confirms the policy again.
     void refuseFeedReads();
 
     // Serves the feed.
     void serve(std::string_view target, HttpGetServer::Reply reply);
+    void wait(Waiter waiter, Duration duration);
+    void replyListing(Collection collection, TimePoint receivedAt, const HttpGetServer::Reply& reply);
     void answer(WaiterId id);
     void answerWaiters(Collection collection);
     static const std::string& encodeOnce(EncodedAnswer& last, std::uint64_t revision, std::uint64_t since,
@@ -119,6 +124,7 @@
     EraHandler m_eraHandler;
     std::optional<TimePoint> m_confirmedAt; ///< send time of the last answered read of the policy
     std::map<WaiterId, Waiter> m_waiters;
+    bool m_hasRefusedReads = false; ///< a failure or another source has ended the first reads
     WaiterId m_lastWaiterId = 0;
     std::uint64_t m_platformCalls = 0;
 };
--- a/tests/node/shared_store_failure_test.cpp
+++ b/tests/node/shared_store_failure_test.cpp
@@ -76,6 +76,48 @@
     EXPECT_GT(*listing.value().confirmedAt, confirmedBefore - std::chrono::seconds(1));
 }
 
+// Guards against VMs that become ready late after a start of all VMs: a list that arrives before their coordinator has
+// read the store would be refused and tried again after a delay.
+TEST_F(SharedStoreFailure, AListWaitsForTheFirstReadOfACoordinatorThatStarts)
+{
+    std::optional<Result<StoreListing>> result;
+    follower->list(Collection::Targets, {}, [&](auto answer) { result = std::move(answer); });
+    context.run_for(milliseconds(100));
+    ASSERT_FALSE(result);
+    coordinator->list(Collection::Targets, {}, [](const auto&) {});
+    context.run_for(milliseconds(50));
+    ASSERT_FALSE(result) << "the policy is not confirmed";
+    readAsCoordinator();
+    const auto readAt = currentTime();
+    const auto listing = waitForResult(result);
+    ASSERT_TRUE(listing);
+    EXPECT_EQ(listing.value().objects.size(), 1U);
+    ASSERT_TRUE(listing.value().confirmedAt);
+    EXPECT_LE(*listing.value().confirmedAt, readAt);
+}
+
+// Guards against VMs that wait for a coordinator whose first read has failed.
+TEST_F(SharedStoreFailure, AListFailsAtOnceWhenTheFirstReadOfItsCoordinatorFails)
+{
+    std::optional<Result<StoreListing>> result;
+    follower->list(Collection::Targets, {}, [&](auto answer) { result = std::move(answer); });
+    context.run_for(milliseconds(100));
+    ASSERT_FALSE(result);
+    const auto before = currentTime();
+    coordinator->invalidateFeed(Collection::Policy);
+    EXPECT_FALSE(waitForResult(result));
+    EXPECT_FALSE(list(Collection::Targets));
+    EXPECT_LT(currentTime() - before, milliseconds(300));
+}
+
+// Guards against VMs that wait for a coordinator which never reads the store.
+TEST_F(SharedStoreFailure, AListDoesNotWaitLongForTheFirstRead)
+{
+    const auto before = currentTime();
+    EXPECT_FALSE(list(Collection::Targets));
+    EXPECT_LT(currentTime() - before, milliseconds(1000));
+}
+
 // Guards against changes that reach the coordinator but not its followers.
 TEST_F(SharedStoreFailure, AWatchOfTheFeedReportsAChangeAtOnce)
 {
