Begin the grace after a rise of the store's era with the first list

A store that came back from an older copy could name its new era and then fail for more than five seconds. Evacuations in force ended five seconds after the rise, before any list of evacuations was read, and VMs whose registration the copy lacked were dropped with the first list.

EraGrace begins with the first complete list of the kind in the new era, and 60 s after the rise at the latest. For evacuations, the first reading in another VM's report counts as well; reports still cannot prolong it.

On the earlier code, EvacuationIsKeptWhileNoListOfTheNewEraHasBeenRead, EvacuationIsNotKeptForEverWithoutAList, MemberIsKeptFromTheFirstListOfTheNewEra and EveryVmKeepsTheEvacuationUntilTheCopyIsRead fail; they pass now.

--- a/src/entry/evacuation_records.cpp
+++ b/src/entry/evacuation_records.cpp
@@ -72,7 +72,8 @@
         const auto ended = records.endedAt.find(failureDomain);
         const bool mayBeCold
             = ended != records.endedAt.end() && now < ended->second + longestColdTime(state.policy.policy());
-        return !mayBeCold && !state.storeEra.isInGrace(now) && !state.targets.evacuated().contains(failureDomain);
+        return !mayBeCold && !state.storeEra.members.contains(now)
+            && !state.targets.evacuated().contains(failureDomain);
     });
     if (!state.hasMemberList || !coordinatesFleet(state, now))
         return;
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -133,7 +133,8 @@
 
 void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects& out)
 {
-    state.members.applySnapshot(event.records, now, state.storeEra.isInGrace(now));
+    state.storeEra.members.recordList(now);
+    state.members.applySnapshot(event.records, now, state.storeEra.members.contains(now));
     state.hasMemberList = true;
     state.retryLimit.setFleetSize(state.members.fleetSize());
     updateCoordination(state, now, out);
--- a/src/entry/store_era.cpp
+++ b/src/entry/store_era.cpp
@@ -19,10 +19,10 @@
     if (before == 0)
         return;
     ++tracking.rises;
-    tracking.risenAt = now;
+    tracking.members.recordRise(now);
     tracking.evacuationsHeldUntil.clear();
     for (const auto& failureDomain : state.targets.evacuated())
-        tracking.evacuationsHeldUntil[failureDomain] = now + StoreEraTracking::grace;
+        tracking.evacuationsHeldUntil[failureDomain] = now + EraGrace::maxWait + EraGrace::length;
     state.evacuations = { .era = era };
     auto& records = state.evacuationRecords;
     records.ofEarlierEra.insert(records.failureDomains.begin(), records.failureDomains.end());
@@ -50,7 +50,13 @@
         return;
     // A time that is known already is not replaced: reports that go round would prolong it without end.
     for (const auto& [failureDomain, remaining] : reading.held)
-        tracking.evacuationsHeldUntil.try_emplace(failureDomain, now + std::min(remaining, StoreEraTracking::grace));
+        tracking.evacuationsHeldUntil.try_emplace(
+            failureDomain, now + std::min(remaining, EraGrace::maxWait + EraGrace::length));
+    // From the first list of this era, what it lacks is held for no longer than the grace.
+    if (state.evacuations.revision != 0 || reading.revision != 0) {
+        for (auto& [failureDomain, until] : tracking.evacuationsHeldUntil)
+            until = std::min(until, now + EraGrace::length);
+    }
     if (reading.revision >= state.evacuations.revision) {
         state.evacuations = reading;
         state.evacuations.held.clear();
@@ -112,7 +118,7 @@
 void releaseEarlierEra(EntryState& state, TimePoint now, Effects& out)
 {
     (void)updateEvacuated(state, now, out);
-    if (state.storeEra.isInGrace(now))
+    if (state.storeEra.members.contains(now))
         return;
     const auto removed = state.members.removeMissing();
     if (removed.empty())
--- a/tests/entry/store_era_failure_test.cpp
+++ b/tests/entry/store_era_failure_test.cpp
@@ -82,6 +82,32 @@
     EXPECT_FALSE(isInService("t1"));
 }
 
+// EVAC. Guards against an evacuation that ends before any list of the new era was read, because the store named its era
+// and then failed for longer than the grace.
+TEST_F(StoreEraFailure, EvacuationIsKeptWhileNoListOfTheNewEraHasBeenRead)
+{
+    evacuate(20);
+    entry.handle(StoreEraRead { 2 });
+    entry.advance(StoreEraTracking::grace + seconds(10));
+    EXPECT_FALSE(isInService("t1"));
+    entry.handle(makeReading(2, 12, {}));
+    entry.advance(StoreEraTracking::grace - milliseconds(400));
+    EXPECT_FALSE(isInService("t1"));
+    entry.advance(milliseconds(600));
+    EXPECT_TRUE(isInService("t1"));
+}
+
+// Guards against an evacuation that a VM which reads no list keeps for ever.
+TEST_F(StoreEraFailure, EvacuationIsNotKeptForEverWithoutAList)
+{
+    evacuate(20);
+    entry.handle(StoreEraRead { 2 });
+    entry.advance(EraGrace::maxWait + StoreEraTracking::grace - milliseconds(400));
+    EXPECT_FALSE(isInService("t1"));
+    entry.advance(milliseconds(600));
+    EXPECT_TRUE(isInService("t1"));
+}
+
 // Guards against collections that are read on with revisions of the earlier era.
 TEST_F(StoreEraFailure, ARiseRestartsTheCallsOnceAndAnEarlierOrRepeatedEraDoesNot)
 {
@@ -171,6 +197,20 @@
     EXPECT_EQ(entry.state.members.fleetSize(), 2U);
 }
 
+// Guards against VMs that are dropped with the first list of the new era, because the store named its era and then
+// failed for longer than the grace.
+TEST_F(StoreEraFailure, MemberIsKeptFromTheFirstListOfTheNewEra)
+{
+    const MemberRecord other { .process = { "vm2", 0 }, .region = "north", .failureDomain = "north-a" };
+    entry.handle(MembersListed { { other } });
+    entry.handle(StoreEraRead { 2 });
+    entry.advance(StoreEraTracking::grace + seconds(10));
+    entry.handle(MembersListed {});
+    EXPECT_EQ(entry.state.members.fleetSize(), 2U);
+    entry.advance(StoreEraTracking::grace + milliseconds(200));
+    EXPECT_EQ(entry.state.members.fleetSize(), 1U);
+}
+
 // FAILBACK. Guards against VMs that start after the rise and do not learn that targets may be cold, because the copy
 // lacks the record of an evacuation that has ended.
 TEST_F(StoreEraFailure, LostRecordOfAnEvacuationIsWrittenAgain)
@@ -214,4 +254,27 @@
         EXPECT_TRUE(state.targets.evacuated().empty()) << vm;
 }
 
+// EVAC. Guards against VMs of which some end the evacuation early, and against reports that prolong it, if the store
+// fails for longer than the grace after it has named its new era.
+TEST(StoreEraFleetFailure, EveryVmKeepsTheEvacuationUntilTheCopyIsRead)
+{
+    Fleet fleet({ 4, 4 }, makePolicy());
+    for (const auto& [vm, state] : fleet.all()) {
+        fleet.raise(vm, StoreEraRead { 1 });
+        fleet.raise(vm, makeReading(1, 20, evacuated));
+    }
+    fleet.run(seconds(4));
+    fleet.raise("a1", StoreEraRead { 2 });
+    fleet.run(StoreEraTracking::grace + seconds(5));
+    for (const auto& [vm, state] : fleet.all())
+        EXPECT_EQ(state.targets.evacuated(), evacuated) << vm;
+    fleet.raise("a1", makeReading(2, 12, {}));
+    fleet.run(StoreEraTracking::grace - seconds(1));
+    for (const auto& [vm, state] : fleet.all())
+        EXPECT_EQ(state.targets.evacuated(), evacuated) << vm;
+    fleet.run(seconds(3));
+    for (const auto& [vm, state] : fleet.all())
+        EXPECT_TRUE(state.targets.evacuated().empty()) << vm;
+}
+
 } // namespace arbutuscrank::entry::test
