Hold drains from the first list of targets in the store's new era

If the store named a new era and then failed for more than five seconds, its first list showed drained and removed targets as ready, and they got requests again; targets that the copy lacked were given up with it. A drain that was held when the store failed again stayed held for as long as it was away.

The grace of targets begins with their first list in the new era. Departures are remembered for the whole grace.

On the earlier code, DrainsAndDeparturesAreHeldFromTheFirstListOfTheNewEra, HeldDrainEndsAlthoughTheStoreStaysAway and MissingTargetIsKeptFromTheFirstListOfTheNewEra fail; they pass now.

--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -2,6 +2,7 @@
 
 #include <arbutuscrank/core/token_bucket.hpp>
 #include <arbutuscrank/core/types.hpp>
+#include <arbutuscrank/entry/store_era.hpp>
 
 #include <cstdint>
 #include <map>
@@ -178,9 +179,10 @@
     /// \brief Records a successful call to the store.
     void recordStoreSuccess(TimePoint now) noexcept;
 
-    /// \brief Records that the store has come back from an older copy. Until \ref removalGrace is over, missing targets
-    /// are kept. Until \ref StoreEraTracking::grace is over, targets that were draining or removed before get no new
-    /// request unless they start again, and entries of earlier starts are ignored.
+    /// \brief Records that the store has come back from an older copy. For \ref removalGrace from the next list on,
+    /// missing targets are kept. Until the \ref EraGrace is over, targets that were draining or removed before get no
+    /// new request unless they start again, and entries of earlier starts are ignored. An outage of the store prolongs
+    /// that, since targets cannot write their entries then, but not past \ref EraGrace::maxWait.
     void recordStoreEraRise(TimePoint now);
 
     /// \brief Records that other VMs have reached the store since \p since. The outage therefore ended then, and
@@ -229,7 +231,8 @@
     /// Whether a record of the store's older copy names a target as ready that is known to drain or to be removed.
     [[nodiscard]] bool isDrainHeld(const Target& target, const TargetRecord& record, TimePoint now) const;
     [[nodiscard]] bool mayBeMissing(TimePoint now) const noexcept;
-    [[nodiscard]] bool isInEraGrace(TimePoint now) const noexcept;
+    /// Whether what is known from an earlier era of the store goes before what the targets' entries say.
+    [[nodiscard]] bool holdsEarlierEra(TimePoint now) const noexcept;
     void eraseTarget(const Target& target, TimePoint now);
 
     std::map<std::string, Target, std::less<>> m_targets;
@@ -238,7 +241,7 @@
     bool m_isStoreUnavailable = false;
     bool m_isColdnessUnknown = false;
     std::optional<TimePoint> m_outageEndedAt;
-    std::optional<TimePoint> m_eraRisenAt;
+    EraGrace m_eraGrace;
     std::map<std::string, Departure, std::less<>> m_departures; ///< by ID
 };
 
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -1,7 +1,5 @@
 #include <arbutuscrank/entry/targets.hpp>
 
-#include <arbutuscrank/entry/store_era.hpp>
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -111,6 +109,7 @@
 
 std::vector<std::string> TargetTable::applySnapshot(std::span<const TargetRecord> records, TimePoint now)
 {
+    m_eraGrace.recordList(now);
     std::vector<std::string> drainingOrRemovedIds;
     std::set<std::string_view> present;
     for (const auto& record : records) {
@@ -135,7 +134,7 @@
 {
     auto& target = m_targets[record.id];
     const bool isEarlierStart = record.startedAtMs != 0 && record.startedAtMs < target.record.startedAtMs;
-    if (isEarlierStart && isInEraGrace(now)) {
+    if (isEarlierStart && m_eraGrace.contains(now)) {
         target.isAwaitingRemoval = false;
         return false;
     }
@@ -147,28 +146,28 @@
 
 bool TargetTable::isDrainHeld(const Target& target, const TargetRecord& record, TimePoint now) const
 {
-    if (record.draining || !isInEraGrace(now))
+    if (record.draining || !m_eraGrace.contains(now))
         return false;
     if (!target.record.id.empty())
         return (target.record.draining || target.isDrainHeld) && target.record.startedAtMs == record.startedAtMs
             && target.record.address == record.address;
     const auto it = m_departures.find(record.id);
-    if (it == m_departures.end() || it->second.at > *m_eraRisenAt)
+    if (it == m_departures.end() || it->second.at > *m_eraGrace.risenAt())
         return false;
     const auto& departure = it->second;
     return record.startedAtMs < departure.startedAtMs
         || (record.startedAtMs == departure.startedAtMs && record.address == departure.address);
 }
 
-bool TargetTable::isInEraGrace(TimePoint now) const noexcept
+bool TargetTable::mayBeMissing(TimePoint now) const noexcept
 {
-    return m_eraRisenAt && now < *m_eraRisenAt + StoreEraTracking::grace;
+    return m_isStoreUnavailable || (m_outageEndedAt && now < *m_outageEndedAt + removalGrace)
+        || m_eraGrace.contains(now, removalGrace);
 }
 
-bool TargetTable::mayBeMissing(TimePoint now) const noexcept
+bool TargetTable::holdsEarlierEra(TimePoint now) const noexcept
 {
-    return m_isStoreUnavailable || (m_outageEndedAt && now < *m_outageEndedAt + removalGrace)
-        || (m_eraRisenAt && now < *m_eraRisenAt + removalGrace);
+    return m_eraGrace.contains(now) || (mayBeMissing(now) && m_eraGrace.mayBeExtended(now));
 }
 
 void TargetTable::eraseTarget(const Target& target, TimePoint now)
@@ -199,7 +198,7 @@
     m_outageEndedAt = now;
 }
 
-void TargetTable::recordStoreEraRise(TimePoint now) { m_eraRisenAt = now; }
+void TargetTable::recordStoreEraRise(TimePoint now) { m_eraGrace.recordRise(now); }
 
 void TargetTable::recordStoreUpElsewhere(TimePoint since) noexcept
 {
@@ -210,12 +209,14 @@
 std::vector<std::string> TargetTable::removeExpired(TimePoint now)
 {
     std::vector<std::string> removedIds;
-    std::erase_if(m_departures, [&](const auto& item) { return now - item.second.at >= departureMemory; });
+    if (!m_eraGrace.contains(now))
+        std::erase_if(m_departures, [&](const auto& item) { return now - item.second.at >= departureMemory; });
+    const bool holdsDrains = holdsEarlierEra(now);
+    for (auto& [id, target] : m_targets)
+        target.isDrainHeld = target.isDrainHeld && holdsDrains;
     if (mayBeMissing(now))
         return removedIds;
-    const bool holdsDrains = isInEraGrace(now);
-    for (auto& [id, target] : m_targets) {
-        target.isDrainHeld = target.isDrainHeld && holdsDrains;
+    for (const auto& [id, target] : m_targets) {
         if (target.isAwaitingRemoval)
             removedIds.push_back(id);
     }
--- a/tests/entry/store_era_failure_test.cpp
+++ b/tests/entry/store_era_failure_test.cpp
@@ -145,6 +145,54 @@
     EXPECT_TRUE(isInService("t1"));
 }
 
+// DRAIN. Guards against requests to targets that drain or have left, after the first list of a store that named its new
+// era and then failed for longer than the grace, and for longer than departures are remembered.
+TEST_F(StoreEraFailure, DrainsAndDeparturesAreHeldFromTheFirstListOfTheNewEra)
+{
+    auto draining = makeTarget("t1");
+    draining.draining = true;
+    entry.handle(TargetChanged { draining });
+    entry.handle(TargetRemoved { "t2" });
+    entry.handle(StoreEraRead { 2 });
+    entry.handle(StoreFailed {});
+    entry.advance(seconds(40));
+    entry.handle(StoreAnswered {});
+    entry.handle(TargetsListed { { makeTarget("t1"), makeTarget("t2") } });
+    EXPECT_FALSE(isInService("t1"));
+    EXPECT_FALSE(isInService("t2"));
+    entry.advance(StoreEraTracking::grace - milliseconds(400));
+    EXPECT_FALSE(isInService("t1"));
+    EXPECT_FALSE(isInService("t2"));
+    entry.advance(milliseconds(600));
+    EXPECT_TRUE(isInService("t1"));
+    EXPECT_TRUE(isInService("t2"));
+}
+
+// Guards against a drain that is held for ever, because the store fails from the first list of the new era on.
+TEST_F(StoreEraFailure, HeldDrainEndsAlthoughTheStoreStaysAway)
+{
+    entry.handle(TargetRemoved { "t1" });
+    entry.handle(StoreEraRead { 2 });
+    entry.handle(TargetsListed { { makeTarget("t1"), makeTarget("t2") } });
+    entry.handle(StoreFailed {});
+    entry.advance(seconds(20));
+    EXPECT_FALSE(isInService("t1"));
+    entry.advance(EraGrace::maxWait);
+    EXPECT_TRUE(isInService("t1"));
+}
+
+// LOST. Guards against live targets that are given up with the first list of a store that named its new era and then
+// failed for longer than the time that they take to register again.
+TEST_F(StoreEraFailure, MissingTargetIsKeptFromTheFirstListOfTheNewEra)
+{
+    entry.handle(StoreEraRead { 2 });
+    entry.advance(seconds(10));
+    entry.handle(TargetsListed { { makeTarget("t2") } });
+    EXPECT_TRUE(isInService("t1"));
+    entry.advance(TargetTable::removalGrace + milliseconds(300));
+    EXPECT_EQ(entry.state.targets.find("t1"), nullptr);
+}
+
 // LOST. Guards against live targets that are given up because the copy is older than their registration.
 TEST_F(StoreEraFailure, TargetThatTheCopyLacksIsKeptUntilItCanHaveRegisteredAgain)
 {
