Apply entries of an earlier start of a target after the grace

Within the grace after a rise of the store's era, an entry of an earlier start of a target is ignored, because it may be of the older copy. It was then forgotten, so that a target which restarted with its clock set back kept its old address at that VM until its entry changed again.

The newest such entry is kept and applied at the end of the grace, unless another entry or the removal of the target came in between. Its cold time counts from its read.

On the earlier code, EntryOfAnEarlierStartIsAppliedAfterTheGrace fails; it passes now. EntryOfAnEarlierStartIsDroppedOnceANewerOneCame guards the new code.

--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -94,6 +94,12 @@
     bool includesSelf = false;
 };
 
+/// \brief An entry that is applied later unless a newer one comes.
+struct DeferredRecord {
+    TargetRecord record;
+    TimePoint readAt {};
+};
+
 /// \brief State of a target.
 struct Target {
     TargetRecord record;
@@ -125,6 +131,8 @@
     bool isAwaitingRemoval = false;
     /// It was draining or removed in an earlier era of the store, whose older copy says that it is ready
     bool isDrainHeld = false;
+    /// Entry of an earlier start that was ignored, because it may be of the store's older copy
+    std::optional<DeferredRecord> deferredRecord;
 
     /// \brief Short identifier of the target in reports between VMs.
     [[nodiscard]] std::uint32_t reportKey() const noexcept { return static_cast<std::uint32_t>(hash); }
@@ -181,7 +189,7 @@
 
     /// \brief Records that the store has come back from an older copy. For \ref removalGrace from the next list on,
     /// missing targets are kept. Until the \ref EraGrace is over, targets that were draining or removed before get no
-    /// new request unless they start again, and entries of earlier starts are ignored. An outage of the store prolongs
+    /// new request unless they start again, and entries of earlier starts are deferred. An outage of the store prolongs
     /// that, since targets cannot write their entries then, but not past \ref EraGrace::maxWait.
     void recordStoreEraRise(TimePoint now);
 
@@ -189,6 +197,10 @@
     /// entries that are still missing after the grace belong to removed targets.
     void recordStoreUpElsewhere(TimePoint since) noexcept;
 
+    /// \brief Takes the entries of earlier starts that were read within the grace after a rise, once that is over. They
+    /// are then the newest ones: the target has restarted with its clock set back, or has not written its entry again.
+    std::vector<TargetRecord> takeDeferredRecords(TimePoint now);
+
     /// \brief Removes the targets whose grace is over.
     /// \returns their IDs
     std::vector<std::string> removeExpired(TimePoint now);
--- a/src/entry/store_era.cpp
+++ b/src/entry/store_era.cpp
@@ -118,6 +118,8 @@
 void releaseEarlierEra(EntryState& state, TimePoint now, Effects& out)
 {
     (void)updateEvacuated(state, now, out);
+    for (auto& record : state.targets.takeDeferredRecords(now))
+        apply(state, TargetChanged { std::move(record) }, now, out);
     if (state.storeEra.members.contains(now))
         return;
     const auto removed = state.members.removeMissing();
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -101,6 +101,7 @@
     if (target.record.region != record.region)
         target.rateSenders = {};
     target.record = record;
+    target.deferredRecord.reset();
     target.hash = XXH64(record.id.data(), record.id.size(), 0);
     target.isAwaitingRemoval = false;
     if (record.coldRemaining > Duration::zero())
@@ -136,6 +137,7 @@
     const bool isEarlierStart = record.startedAtMs != 0 && record.startedAtMs < target.record.startedAtMs;
     if (isEarlierStart && m_eraGrace.contains(now)) {
         target.isAwaitingRemoval = false;
+        target.deferredRecord = { record, now };
         return false;
     }
     const bool wasDraining = target.record.draining || target.isDrainHeld;
@@ -184,6 +186,7 @@
         return false;
     if (mayBeMissing(now) && !it->second.record.draining) {
         it->second.isAwaitingRemoval = true;
+        it->second.deferredRecord.reset();
         return false;
     }
     eraseTarget(it->second, now);
@@ -206,6 +209,22 @@
         m_outageEndedAt = std::min(*m_outageEndedAt, since);
 }
 
+std::vector<TargetRecord> TargetTable::takeDeferredRecords(TimePoint now)
+{
+    std::vector<TargetRecord> records;
+    if (holdsEarlierEra(now))
+        return records;
+    for (auto& [id, target] : m_targets) {
+        if (!target.deferredRecord)
+            continue;
+        auto& [record, readAt] = *target.deferredRecord;
+        record.coldRemaining = std::max(Duration::zero(), record.coldRemaining - (now - readAt));
+        records.push_back(std::move(record));
+        target.deferredRecord.reset();
+    }
+    return records;
+}
+
 std::vector<std::string> TargetTable::removeExpired(TimePoint now)
 {
     std::vector<std::string> removedIds;
--- a/tests/entry/store_era_failure_test.cpp
+++ b/tests/entry/store_era_failure_test.cpp
@@ -217,6 +217,50 @@
     EXPECT_TRUE(entry.state.targets.find("t1")->isCold(entry.now));
 }
 
+// Guards against a target that restarts within the grace with its clock set back and keeps its old address for ever.
+TEST_F(StoreEraFailure, EntryOfAnEarlierStartIsAppliedAfterTheGrace)
+{
+    auto known = makeTarget("t1");
+    known.startedAtMs = 5;
+    entry.handle(TargetChanged { known });
+    entry.handle(StoreEraRead { 2 });
+    entry.handle(TargetsListed { { known, makeTarget("t2") } });
+    auto restarted = makeTarget("t1");
+    restarted.startedAtMs = 3;
+    restarted.address = "10.0.0.3:80";
+    restarted.coldRemaining = seconds(8);
+    entry.handle(TargetChanged { restarted });
+    EXPECT_EQ(entry.state.targets.find("t1")->record.address, known.address);
+    entry.advance(StoreEraTracking::grace + milliseconds(200));
+    const auto* target = entry.state.targets.find("t1");
+    EXPECT_EQ(target->record.address, restarted.address);
+    // The time until it is warm was named with the entry.
+    EXPECT_EQ(target->coldRemaining(entry.now), seconds(8) - StoreEraTracking::grace - milliseconds(200));
+}
+
+// Guards against an entry of the older copy that is applied after the grace, although the target has written a newer
+// one or has been removed.
+TEST_F(StoreEraFailure, EntryOfAnEarlierStartIsDroppedOnceANewerOneCame)
+{
+    auto known = makeTarget("t1");
+    known.startedAtMs = 5;
+    entry.handle(TargetChanged { known });
+    entry.handle(StoreEraRead { 2 });
+    auto copied = makeTarget("t1");
+    copied.startedAtMs = 3;
+    copied.address = "10.0.0.3:80";
+    entry.handle(TargetsListed { { copied, makeTarget("t2") } });
+    auto removed = makeTarget("t2");
+    removed.startedAtMs = 5;
+    entry.handle(TargetChanged { removed });
+    entry.handle(TargetChanged { makeTarget("t2") });
+    entry.handle(TargetChanged { known });
+    entry.handle(TargetRemoved { "t2" });
+    entry.advance(StoreEraTracking::grace + milliseconds(200));
+    EXPECT_EQ(entry.state.targets.find("t1")->record.address, known.address);
+    EXPECT_EQ(entry.state.targets.find("t2"), nullptr);
+}
+
 // CONFIG. Guards against a withdrawn key that is accepted again, because the copy holds the configuration before it.
 TEST_F(StoreEraFailure, WithdrawnKeyStaysWithdrawn)
 {
