Make two tests of the store's eras as strict as their names

LateAnswerOfTheOldEraIsRejectedAndNotServed did not read the feed, and sent no late answer without an era. AnswerOfAFeedThatHasNotHeardOfTheRiseIs- Rejected passed with any failure of the feed. They now check the kind of the error, what the feed serves before and after, and the eras of both VMs.

--- a/tests/node/store_era_failure_test.cpp
+++ b/tests/node/store_era_failure_test.cpp
@@ -23,6 +23,16 @@
             coordinator->list(Collection::Policy, {}, [](const auto&) {});
         }
 
+        /// Lists a collection and waits for the answer. \returns Timeout if there is none
+        Result<StoreListing> listFrom(SharedStore& store, Collection collection)
+        {
+            std::optional<Result<StoreListing>> answer;
+            store.list(collection, {}, [&](auto result) { answer = std::move(result); });
+            if (!runUntil(context, [&] { return answer.has_value(); }))
+                return Error { ErrorCode::Timeout, "test.list", {}, "no answer" };
+            return std::move(*answer);
+        }
+
         asio::io_context context;
         std::string address = freeAddress();
         std::shared_ptr<MemoryStore> platformStore = std::make_shared<MemoryStore>();
@@ -55,27 +65,59 @@
 // EVAC, DRAIN. Guards against a VM that knows the new era and applies the old copy of a feed that has not heard of it.
 TEST_F(StoreEraFeedFailure, AnswerOfAFeedThatHasNotHeardOfTheRiseIsRejected)
 {
+    // Without the rise, the feed serves its copy.
+    const auto before = listFrom(*follower, Collection::Policy);
+    ASSERT_TRUE(before);
+    ASSERT_EQ(before.value().era, 1U);
     follower->noteEra(2);
-    std::optional<Result<StoreListing>> answer;
-    follower->list(Collection::Policy, {}, [&](auto result) { answer = std::move(result); });
-    ASSERT_TRUE(runUntil(context, [&] { return answer.has_value(); }));
-    EXPECT_FALSE(*answer);
+    const auto listing = listFrom(*follower, Collection::Policy);
+    ASSERT_FALSE(listing);
+    EXPECT_EQ(listing.error().code, ErrorCode::Unavailable);
+    EXPECT_EQ(listing.error().step, "store.era");
+    std::optional<Result<StoreChanges>> changes;
+    follower->watch(Collection::Policy, 5, milliseconds(100), [&](auto result) { changes = std::move(result); });
+    ASSERT_TRUE(runUntil(context, [&] { return changes.has_value(); }));
+    ASSERT_FALSE(*changes);
+    EXPECT_EQ(changes->error().code, ErrorCode::NotFound);
     EXPECT_EQ(follower->era(), 2U);
+    EXPECT_EQ(coordinator->era(), 1U);
 }
 
-// EVAC, DRAIN. Guards against an answer of the old era that arrives late and is applied over the new one.
+// EVAC, DRAIN. Guards against an answer of the old era that arrives late and is applied over the new one, whether or
+// not it names its era.
 TEST_F(StoreEraFeedFailure, LateAnswerOfTheOldEraIsRejectedAndNotServed)
 {
-    std::optional<Result<StoreChanges>> answer;
-    coordinator->watch(Collection::Policy, 10, milliseconds(1000), [&](auto result) { answer = std::move(result); });
-    platformStore->returnFromCopy({ { "main", 3, "{}" } }, 8);
-    coordinator->list(Collection::Targets, {}, [](const auto&) {});
-    ASSERT_FALSE(answer);
-    platformStore->answerWatch(Collection::Policy,
-        StoreChanges { .changes = { { { "main", 12, "late" }, false } }, .revision = 12, .era = 1 });
-    ASSERT_TRUE(answer);
-    EXPECT_FALSE(*answer);
-    EXPECT_EQ(coordinator->era(), 2U);
+    for (const StoreEra named : { 1, 0 }) {
+        const auto current = coordinator->era() + 1;
+        std::optional<Result<StoreChanges>> answer;
+        coordinator->watch(
+            Collection::Policy, 10, milliseconds(1000), [&](auto result) { answer = std::move(result); });
+        platformStore->returnFromCopy({ { "main", 3, "{}" } }, 8);
+        EXPECT_FALSE(listFrom(*coordinator, Collection::Targets)); // it was sent before the rise was known
+        ASSERT_TRUE(listFrom(*coordinator, Collection::Targets));
+        ASSERT_FALSE(answer);
+        const StoreChanges late { .changes = { { { "main", 12, "late" }, false } }, .revision = 12, .era = named };
+        std::exchange(platformStore->pendingWatches[Collection::Policy], {})(late);
+        ASSERT_TRUE(answer);
+        ASSERT_FALSE(*answer);
+        EXPECT_EQ(answer->error().code, ErrorCode::Unavailable);
+        EXPECT_EQ(answer->error().step, "store.era");
+        EXPECT_EQ(coordinator->era(), current);
+        // The feed has no copy of the policy in the new era, and nothing confirms the others.
+        for (const auto collection : { Collection::Policy, Collection::Targets }) {
+            const auto refused = listFrom(*follower, collection);
+            ASSERT_FALSE(refused) << toString(collection);
+            EXPECT_EQ(refused.error().step, "feed.read");
+        }
+        ASSERT_TRUE(listFrom(*coordinator, Collection::Policy));
+        const auto served = listFrom(*follower, Collection::Policy);
+        ASSERT_TRUE(served);
+        EXPECT_EQ(served.value().era, current);
+        EXPECT_EQ(served.value().revision, 8U);
+        ASSERT_EQ(served.value().objects.size(), 1U);
+        EXPECT_EQ(served.value().objects.front().revision, 3U);
+        EXPECT_EQ(served.value().objects.front().body, "{}");
+    }
 }
 
 // Guards against a write with a revision of the old era, which the store may have given out again.
