Use one class for the shares of counted memory

CallerMemory::Share, CallerMemory::Holder and AnswerMemory::Share each repeated how a part of a ledger is moved and released. MemoryShare owns one item of a ledger and releases it; the three are built on it.

No change of behaviour. The tests of CallerMemoryFailure and of the answers' memory (TargetAnswers, CallerSessionFailure) pass as before.

--- a/src/node/answer_memory.cpp
+++ b/src/node/answer_memory.cpp
@@ -7,31 +7,12 @@
 
 namespace arbutuscrank::node {
 
-AnswerMemory::Share& AnswerMemory::Share::operator=(Share&& other) noexcept
-{
-    if (this != &other) {
-        reset();
-        m_ledger = std::move(other.m_ledger);
-        m_holding = other.m_holding;
-    }
-    return *this;
-}
-
-void AnswerMemory::Share::reset() noexcept
-{
-    if (!m_ledger)
-        return;
-    m_ledger->bytes -= m_holding->bytes;
-    m_ledger->holdings.erase(m_holding);
-    m_ledger.reset();
-}
-
 void AnswerMemory::Share::resize(std::uint64_t bytes)
 {
-    if (!m_ledger)
+    const auto ledger = this->ledger(); // the share may end while an answer is released
+    if (!ledger)
         return;
-    const auto ledger = m_ledger; // the share may end while an answer is released
-    const auto before = std::exchange(m_holding->bytes, bytes);
+    const auto before = std::exchange(item()->bytes, bytes);
     ledger->bytes = ledger->bytes - before + bytes;
     if (bytes > before && ledger->bytes > ledger->limit)
         ledger->releaseLongest();
@@ -39,18 +20,18 @@
 
 void AnswerMemory::Share::assign(std::string peer, std::function<void()> release)
 {
-    if (!m_ledger)
+    if (!ledger())
         return;
-    m_holding->peer = std::move(peer);
-    m_holding->release = std::move(release);
+    item()->peer = std::move(peer);
+    item()->release = std::move(release);
 }
 
 void AnswerMemory::Share::markEnding()
 {
-    if (!m_ledger)
+    if (!ledger())
         return;
-    m_holding->release = {};
-    m_holding->isEnding = true;
+    item()->release = {};
+    item()->isEnding = true;
 }
 
 AnswerMemory::Share AnswerMemory::hold(std::string peer, std::function<void()> release)
@@ -59,6 +40,12 @@
     return { m_ledger, holdings.insert(holdings.end(), { .peer = std::move(peer), .release = std::move(release) }) };
 }
 
+void AnswerMemory::Ledger::release(const Holdings::iterator& holding) noexcept
+{
+    bytes -= holding->bytes;
+    holdings.erase(holding);
+}
+
 void AnswerMemory::Ledger::releaseLongest()
 {
     std::map<std::string_view, std::uint64_t> bytesOfPeers;
--- a/src/node/answer_memory.hpp
+++ b/src/node/answer_memory.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "node/memory_share.hpp"
+
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -35,17 +37,15 @@
         std::uint64_t releasedAnswers = 0;
         Holdings holdings;
 
+        void release(const Holdings::iterator& holding) noexcept;
         void releaseLongest();
     };
 
 public:
     /// \brief The bytes of one answer. They are no longer counted once it is destroyed.
-    class Share {
+    class Share : public MemoryShare<Ledger, Holdings::iterator> {
     public:
-        Share() = default;
-        Share(Share&& other) noexcept = default;
-        Share& operator=(Share&& other) noexcept;
-        ~Share() { reset(); }
+        using MemoryShare::MemoryShare;
 
         /// \brief Sets the number of bytes allocated for the answer. If that exceeds the limit of all answers, an
         /// answer is released before the call returns, possibly this one.
@@ -56,18 +56,6 @@
 
         /// \brief Says that the answer was given up. It is counted until the share is destroyed with its memory.
         void markEnding();
-
-    private:
-        friend class AnswerMemory;
-        Share(std::shared_ptr<Ledger> ledger, Holdings::iterator holding)
-            : m_ledger(std::move(ledger))
-            , m_holding(holding)
-        {
-        }
-        void reset() noexcept;
-
-        std::shared_ptr<Ledger> m_ledger; ///< null if the share counts no answer
-        Holdings::iterator m_holding;
     };
 
     /// \param limit bytes of all answers together
--- a/src/node/caller_memory.cpp
+++ b/src/node/caller_memory.cpp
@@ -4,67 +4,49 @@
 
 namespace arbutuscrank::node {
 
-CallerMemory::Share& CallerMemory::Share::operator=(Share&& other) noexcept
-{
-    if (this != &other) {
-        reset();
-        m_ledger = std::move(other.m_ledger);
-        m_connection = std::move(other.m_connection);
-        m_bytes = other.m_bytes;
-    }
-    return *this;
-}
-
-void CallerMemory::Share::reset() noexcept
-{
-    if (!m_ledger)
-        return;
-    m_ledger->resize(*m_connection, m_connection->accepted, m_connection->accepted - m_bytes);
-    m_ledger.reset();
-}
-
-CallerMemory::Holder::~Holder()
-{
-    if (!m_ledger)
-        return;
-    m_ledger->resize(*m_connection, m_connection->received, 0);
-    m_ledger->connections.erase(m_position);
-}
-
 void CallerMemory::Holder::setReceived(std::uint64_t bytes, TimePoint now)
 {
-    if (!m_ledger)
+    const auto ledger = this->ledger(); // the holder may end while connections are closed
+    if (!ledger)
         return;
-    const bool hasGrown = bytes > m_connection->received;
-    m_ledger->resize(*m_connection, m_connection->received, bytes);
+    auto& connection = **item();
+    const bool hasGrown = bytes > connection.received;
+    ledger->resize(connection, connection.received, bytes);
     if (!hasGrown)
         return;
-    m_connection->movedAt = now;
-    const auto ledger = m_ledger; // the holder may end while connections are closed
+    connection.movedAt = now;
     ledger->makeRoom(now);
 }
 
 CallerMemory::Share CallerMemory::Holder::acceptRequest()
 {
-    Share share;
-    if (!m_ledger)
-        return share;
-    share.m_ledger = m_ledger;
-    share.m_connection = m_connection;
-    share.m_bytes = m_connection->received;
-    m_connection->accepted += std::exchange(m_connection->received, 0);
-    return share;
+    if (!ledger())
+        return {};
+    const auto& connection = *item();
+    const auto bytes = std::exchange(connection->received, 0);
+    connection->accepted += bytes;
+    return { ledger(), { connection, bytes } };
 }
 
 CallerMemory::Holder CallerMemory::add(std::function<void()> refuse, std::function<void()> close)
 {
-    Holder holder;
-    holder.m_ledger = m_ledger;
-    holder.m_connection = std::make_shared<Connection>();
-    holder.m_connection->refuse = std::move(refuse);
-    holder.m_connection->close = std::move(close);
-    holder.m_position = m_ledger->connections.insert(m_ledger->connections.end(), holder.m_connection);
-    return holder;
+    auto& connections = m_ledger->connections;
+    auto connection = std::make_shared<Connection>();
+    connection->refuse = std::move(refuse);
+    connection->close = std::move(close);
+    return { m_ledger, connections.insert(connections.end(), std::move(connection)) };
+}
+
+void CallerMemory::Ledger::release(const Accepted& request) noexcept
+{
+    auto& accepted = request.connection->accepted;
+    resize(*request.connection, accepted, accepted - request.bytes);
+}
+
+void CallerMemory::Ledger::release(const Connections::iterator& position) noexcept
+{
+    resize(**position, (*position)->received, 0);
+    connections.erase(position);
 }
 
 void CallerMemory::Ledger::resize(Connection& connection, std::uint64_t& part, std::uint64_t size)
--- a/src/node/caller_memory.hpp
+++ b/src/node/caller_memory.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
+#include "node/memory_share.hpp"
+
 #include <arbutuscrank/core/types.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
-#include <utility>
 
 /// \file
 /// \brief Limit on the memory of all requests that the process holds for callers.
@@ -28,6 +29,11 @@
         std::function<void()> close;
     };
     using Connections = std::list<std::shared_ptr<Connection>>;
+    /// A request that was received whole.
+    struct Accepted {
+        std::shared_ptr<Connection> connection;
+        std::uint64_t bytes = 0;
+    };
 
     struct Ledger {
         std::uint64_t limit = 0;
@@ -38,6 +44,8 @@
         Connections connections;
 
         void resize(Connection& connection, std::uint64_t& part, std::uint64_t size);
+        void release(const Accepted& request) noexcept;
+        void release(const Connections::iterator& position) noexcept;
         void makeRoom(TimePoint now);
         bool refuseOne(TimePoint now);
         bool closeOne();
@@ -50,35 +58,12 @@
     static constexpr double closeFactor = 1.125;
 
     /// \brief The bytes of one request. They are no longer counted once it is destroyed.
-    class Share {
-    public:
-        Share() = default;
-        Share(Share&& other) noexcept = default;
-        Share& operator=(Share&& other) noexcept;
-        ~Share() { reset(); }
-
-    private:
-        friend class CallerMemory;
-        void reset() noexcept;
-
-        std::shared_ptr<Ledger> m_ledger; ///< null if the share counts nothing
-        std::shared_ptr<Connection> m_connection;
-        std::uint64_t m_bytes = 0;
-    };
+    using Share = MemoryShare<Ledger, Accepted>;
 
     /// \brief What one connection holds. A default-constructed holder counts nothing.
-    class Holder {
+    class Holder : public MemoryShare<Ledger, Connections::iterator> {
     public:
-        Holder() = default;
-        Holder(Holder&& other) noexcept = default;
-        Holder& operator=(Holder&& other) noexcept
-        {
-            std::swap(m_ledger, other.m_ledger);
-            std::swap(m_connection, other.m_connection);
-            std::swap(m_position, other.m_position);
-            return *this;
-        }
-        ~Holder();
+        using MemoryShare::MemoryShare;
 
         /// \brief Sets the bytes of the request that is being received. Before the call returns, requests may be
         /// refused and connections closed, possibly this one.
@@ -86,12 +71,6 @@
 
         /// \brief Ends the request that is being received. \returns its bytes, which are counted on with its connection
         [[nodiscard]] Share acceptRequest();
-
-    private:
-        friend class CallerMemory;
-        std::shared_ptr<Ledger> m_ledger;
-        std::shared_ptr<Connection> m_connection;
-        Connections::iterator m_position;
     };
 
     /// \param limit bytes of all requests together
