Begin the idle time of a caller's connection with its last answer

The idle time began when the last request was accepted. A connection whose answer came just before its end was closed right after the answer, and a request that the caller sent then was lost. A request that had arrived when the idle time ended, and that the event loop had not read yet, was lost too.

The idle time begins anew once the last answer is written, and a connection on which bytes of a request have arrived is not idle.

On the earlier code, IdleTimeBeginsWithTheAnswer and RequestThatArrivesAtTheEndOfTheIdleTimeIsRead fail; they pass now.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -109,10 +109,12 @@
         // The handler of an earlier wait may already be queued when the timer is set again; the generation rejects it.
         if (ec || !self || generation != self->m_timerGeneration)
             return;
-        if (self->hasNoUnansweredRequest())
-            self->closeIdle(CloseCause::Idle);
-        else
+        if (!self->hasNoUnansweredRequest())
             self->closeIfNoneUnansweredAfter(duration);
+        else if (self->isAwaitingRequest() && unreadBytes(self->m_socket) != 0)
+            self->closeIfNoneUnansweredAfter(self->m_handlers.limits().headerTimeout); // read in this turn of the loop
+        else
+            self->closeIdle(CloseCause::Idle);
     });
 }
 
@@ -330,6 +332,8 @@
             self->writeNext();
             if (self->m_hasReadLastRequest && self->hasNoUnansweredRequest())
                 self->endConnection(LateInput::LeaveUnread, CloseCause::Stop);
+            else if (self->hasNoUnansweredRequest() && self->isAwaitingRequest())
+                self->closeIfNoneUnansweredAfter(self->m_handlers.limits().idleTimeout);
             self->waitForRequest();
         });
 }
@@ -414,6 +418,11 @@
     return hasReadPart || m_buffer.size() != 0 || unreadBytes(m_socket) != 0;
 }
 
+bool CallerSession::isAwaitingRequest() const
+{
+    return m_isReading && !m_hasReadLastRequest && !m_parser->got_some() && m_buffer.size() == 0;
+}
+
 void CallerSession::stopReading()
 {
     if (!hasNoUnansweredRequest() || !isReceivingRequest())
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -142,6 +142,8 @@
     [[nodiscard]] std::size_t undeliveredBytes() { return unacknowledgedBytes(m_socket).value_or(0); }
     /// Whether a request, or a part of one, has arrived that is still to be answered.
     [[nodiscard]] bool isReceivingRequest() const;
+    /// Whether the next request is to be read and no byte of it has been taken.
+    [[nodiscard]] bool isAwaitingRequest() const;
     void waitForRequest();
     /// In a planned stop, takes no request behind an answer that its caller does not take as fast as it is written.
     void stopReadingIfCallerIsSlow();
@@ -168,6 +170,8 @@
     void acceptRequest();
     void handleReadError(SystemError ec);
     void writeNext();
+    /// Closes the connection after a time in which its caller owes a request or the rest of one. The time begins anew
+    /// with the answer to the last request, and at its end if a request is unanswered.
     void closeIfNoneUnansweredAfter(Duration duration);
     /// Ends the sending direction and leaves the connection open until the caller has acknowledged everything and has
     /// had time to read it and to close the connection.
--- a/tests/node/caller_session_failure_test.cpp
+++ b/tests/node/caller_session_failure_test.cpp
@@ -487,4 +487,46 @@
     EXPECT_TRUE(runUntil(context, [&] { return weak.expired(); }));
 }
 
+// Guards against a connection that is closed as idle just after its answer, because the idle time began when the
+// answered request was accepted. A request that the caller sent at that moment was lost.
+TEST_F(CallerSessionFailure, IdleTimeBeginsWithTheAnswer)
+{
+    using std::chrono::milliseconds;
+    limits.idleTimeout = milliseconds(600);
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    context.restart();
+    context.run_for(milliseconds(500));
+    answer(1, "first");
+    const auto answeredAt = std::chrono::steady_clock::now();
+    EXPECT_FALSE(readAvailable(40).empty());
+    context.restart();
+    context.run_for(milliseconds(300));
+    ASSERT_FALSE(session->isClosed());
+    ASSERT_TRUE(runUntil(context, [&] { return session->isClosed(); }));
+    EXPECT_GE(std::chrono::steady_clock::now() - answeredAt, limits.idleTimeout);
+    EXPECT_TRUE(cuts.empty());
+}
+
+// Guards against a request that is lost because the idle time ends after it has arrived and before the event loop reads
+// it.
+TEST_F(CallerSessionFailure, RequestThatArrivesAtTheEndOfTheIdleTimeIsRead)
+{
+    using std::chrono::milliseconds;
+    limits.idleTimeout = milliseconds(200);
+    limits.headerTimeout = milliseconds(300);
+    writeText(caller, get("/1"));
+    ASSERT_TRUE(runUntil(context, [&] { return receivedRequests.size() == 1; }));
+    answer(1, "first");
+    EXPECT_FALSE(readAvailable(40).empty());
+    // Both timers have expired when the event loop runs again; this one is handled first.
+    asio::steady_timer timer(context, limits.idleTimeout / 2);
+    timer.async_wait([&](SystemError) { writeText(caller, get("/2")); });
+    std::this_thread::sleep_for(limits.idleTimeout * 2);
+    context.restart();
+    context.run_for(milliseconds(100));
+    EXPECT_EQ(receivedRequests.size(), 2U);
+    EXPECT_TRUE(cuts.empty());
+}
+
 } // namespace arbutuscrank::node::test
