--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -19,6 +19,7 @@
     SettingsReloaded = 105,
     LogLinesDropped = 106,
     EventLoopDelayed = 107,
+    DescriptorsLimited = 108,
     // 2xx: configuration
     ConfigurationApplied = 200,
     ConfigurationRefused = 201,
--- a/include/arbutuscrank/entry/settings.hpp
+++ b/include/arbutuscrank/entry/settings.hpp
@@ -50,6 +50,8 @@
     bool sharesRoom = false; ///< shares the room of services by priority while callers ask for more, see RoomSharing
     std::uint64_t memoryBytes = 256U << 20U; ///< memory available to the process
     std::uint32_t maxSockets = 824; ///< sockets that the process may open
+    /// The process's own limit on descriptors if \ref maxSockets was lowered to fit it; 0 otherwise.
+    std::uint64_t descriptorLimit = 0;
     std::map<std::string, std::string> regionOfFailureDomain;
     Bounds bounds;
     std::string logLevel = "info";
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -21,6 +21,8 @@
         return "log-lines-dropped";
     case LogEvent::EventLoopDelayed:
         return "event-loop-delayed";
+    case LogEvent::DescriptorsLimited:
+        return "descriptors-limited";
     case LogEvent::ConfigurationApplied:
         return "configuration-applied";
     case LogEvent::ConfigurationRefused:
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -197,6 +197,9 @@
     log(LogEvent::ProcessStarted,
         fmt::format("incarnation={} region={} failure_domain={} store={}", m_state.members.self().process.incarnation,
             settings.region, settings.failureDomain, settings.storeAddress));
+    if (settings.descriptorLimit != 0)
+        log(LogEvent::DescriptorsLimited,
+            fmt::format("descriptors={} sockets={}", settings.descriptorLimit, settings.maxSockets));
     acceptCallers();
     createReaders();
     m_readers.at(Collection::Members)->start();
--- a/src/telemetry/log_levels.cpp
+++ b/src/telemetry/log_levels.cpp
@@ -28,6 +28,7 @@
     case LogEvent::ConfigurationRefused:
         return spdlog::level::err;
     case LogEvent::EventLoopDelayed:
+    case LogEvent::DescriptorsLimited:
     case LogEvent::ConfigurationStale:
     case LogEvent::MemberSuspected:
     case LogEvent::MemberGone:
