--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -2,6 +2,7 @@
 
 #include <arbutuscrank/core/token_bucket.hpp>
 #include <arbutuscrank/core/types.hpp>
+#include <arbutuscrank/entry/store_era.hpp>
 
 #include <cstdint>
 #include <map>
@@ -93,6 +94,12 @@
     bool includesSelf = false;
 };
 
+/// \brief An entry that is applied later unless a newer one comes.
+struct DeferredRecord {
+    TargetRecord record;
+    TimePoint readAt {};
+};
+
 /// \brief State of a target.
 struct Target {
     TargetRecord record;
@@ -124,6 +131,8 @@
     bool isAwaitingRemoval = false;
     /// It was draining or removed in an earlier era of the store, whose older copy says that it is ready
     bool isDrainHeld = false;
+    /// Entry of an earlier start that was ignored, because it may be of the store's older copy
+    std::optional<DeferredRecord> deferredRecord;
 
     /// \brief Short identifier of the target in reports between VMs.
     [[nodiscard]] std::uint32_t reportKey() const noexcept { return static_cast<std::uint32_t>(hash); }
@@ -178,15 +187,20 @@
     /// \brief Records a successful call to the store.
     void recordStoreSuccess(TimePoint now) noexcept;
 
-    /// \brief Records that the store has come back from an older copy. Until \ref removalGrace is over, missing targets
-    /// are kept. Until \ref StoreEraTracking::grace is over, targets that were draining or removed before get no new
-    /// request unless they start again, and entries of earlier starts are ignored.
+    /// \brief Records that the store has come back from an older copy. For \ref removalGrace from the next list on,
+    /// missing targets are kept. Until the \ref EraGrace is over, targets that were draining or removed before get no
+    /// new request unless they start again, and entries of earlier starts are deferred. An outage of the store prolongs
+    /// that, since targets cannot write their entries then, but not past \ref EraGrace::maxWait.
     void recordStoreEraRise(TimePoint now);
 
     /// \brief Records that other VMs have reached the store since \p since. The outage therefore ended then, and
     /// entries that are still missing after the grace belong to removed targets.
     void recordStoreUpElsewhere(TimePoint since) noexcept;
 
+    /// \brief Takes the entries of earlier starts that were read within the grace after a rise, once that is over. They
+    /// are then the newest ones: the target has restarted with its clock set back, or has not written its entry again.
+    std::vector<TargetRecord> takeDeferredRecords(TimePoint now);
+
     /// \brief Removes the targets whose grace is over.
     /// \returns their IDs
     std::vector<std::string> removeExpired(TimePoint now);
@@ -229,7 +243,8 @@
     /// Whether a record of the store's older copy names a target as ready that is known to drain or to be removed.
     [[nodiscard]] bool isDrainHeld(const Target& target, const TargetRecord& record, TimePoint now) const;
     [[nodiscard]] bool mayBeMissing(TimePoint now) const noexcept;
-    [[nodiscard]] bool isInEraGrace(TimePoint now) const noexcept;
+    /// Whether what is known from an earlier era of the store goes before what the targets' entries say.
+    [[nodiscard]] bool holdsEarlierEra(TimePoint now) const noexcept;
     void eraseTarget(const Target& target, TimePoint now);
 
     std::map<std::string, Target, std::less<>> m_targets;
@@ -238,7 +253,7 @@
     bool m_isStoreUnavailable = false;
     bool m_isColdnessUnknown = false;
     std::optional<TimePoint> m_outageEndedAt;
-    std::optional<TimePoint> m_eraRisenAt;
+    EraGrace m_eraGrace;
     std::map<std::string, Departure, std::less<>> m_departures; ///< by ID
 };
 
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -1,7 +1,5 @@
 #include <arbutuscrank/entry/targets.hpp>
 
-#include <arbutuscrank/entry/store_era.hpp>
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -103,6 +101,7 @@
     if (target.record.region != record.region)
         target.rateSenders = {};
     target.record = record;
+    target.deferredRecord.reset();
     target.hash = XXH64(record.id.data(), record.id.size(), 0);
     target.isAwaitingRemoval = false;
     if (record.coldRemaining > Duration::zero())
@@ -111,6 +110,7 @@
 
 std::vector<std::string> TargetTable::applySnapshot(std::span<const TargetRecord> records, TimePoint now)
 {
+    m_eraGrace.recordList(now);
     std::vector<std::string> drainingOrRemovedIds;
     std::set<std::string_view> present;
     for (const auto& record : records) {
@@ -135,8 +135,9 @@
 {
     auto& target = m_targets[record.id];
     const bool isEarlierStart = record.startedAtMs != 0 && record.startedAtMs < target.record.startedAtMs;
-    if (isEarlierStart && isInEraGrace(now)) {
+    if (isEarlierStart && m_eraGrace.contains(now)) {
         target.isAwaitingRemoval = false;
+        target.deferredRecord = { record, now };
         return false;
     }
     const bool wasDraining = target.record.draining || target.isDrainHeld;
@@ -147,28 +148,28 @@
 
 bool TargetTable::isDrainHeld(const Target& target, const TargetRecord& record, TimePoint now) const
 {
-    if (record.draining || !isInEraGrace(now))
+    if (record.draining || !m_eraGrace.contains(now))
         return false;
     if (!target.record.id.empty())
         return (target.record.draining || target.isDrainHeld) && target.record.startedAtMs == record.startedAtMs
             && target.record.address == record.address;
     const auto it = m_departures.find(record.id);
-    if (it == m_departures.end() || it->second.at > *m_eraRisenAt)
+    if (it == m_departures.end() || it->second.at > *m_eraGrace.risenAt())
         return false;
     const auto& departure = it->second;
     return record.startedAtMs < departure.startedAtMs
         || (record.startedAtMs == departure.startedAtMs && record.address == departure.address);
 }
 
-bool TargetTable::isInEraGrace(TimePoint now) const noexcept
+bool TargetTable::mayBeMissing(TimePoint now) const noexcept
 {
-    return m_eraRisenAt && now < *m_eraRisenAt + StoreEraTracking::grace;
+    return m_isStoreUnavailable || (m_outageEndedAt && now < *m_outageEndedAt + removalGrace)
+        || m_eraGrace.contains(now, removalGrace);
 }
 
-bool TargetTable::mayBeMissing(TimePoint now) const noexcept
+bool TargetTable::holdsEarlierEra(TimePoint now) const noexcept
 {
-    return m_isStoreUnavailable || (m_outageEndedAt && now < *m_outageEndedAt + removalGrace)
-        || (m_eraRisenAt && now < *m_eraRisenAt + removalGrace);
+    return m_eraGrace.contains(now) || (mayBeMissing(now) && m_eraGrace.mayBeExtended(now));
 }
 
 void TargetTable::eraseTarget(const Target& target, TimePoint now)
@@ -185,6 +186,7 @@
         return false;
     if (mayBeMissing(now) && !it->second.record.draining) {
         it->second.isAwaitingRemoval = true;
+        it->second.deferredRecord.reset();
         return false;
     }
     eraseTarget(it->second, now);
@@ -199,7 +201,7 @@
     m_outageEndedAt = now;
 }
 
-void TargetTable::recordStoreEraRise(TimePoint now) { m_eraRisenAt = now; }
+void TargetTable::recordStoreEraRise(TimePoint now) { m_eraGrace.recordRise(now); }
 
 void TargetTable::recordStoreUpElsewhere(TimePoint since) noexcept
 {
@@ -207,15 +209,33 @@
         m_outageEndedAt = std::min(*m_outageEndedAt, since);
 }
 
+std::vector<TargetRecord> TargetTable::takeDeferredRecords(TimePoint now)
+{
+    std::vector<TargetRecord> records;
+    if (holdsEarlierEra(now))
+        return records;
+    for (auto& [id, target] : m_targets) {
+        if (!target.deferredRecord)
+            continue;
+        auto& [record, readAt] = *target.deferredRecord;
+        record.coldRemaining = std::max(Duration::zero(), record.coldRemaining - (now - readAt));
+        records.push_back(std::move(record));
+        target.deferredRecord.reset();
+    }
+    return records;
+}
+
 std::vector<std::string> TargetTable::removeExpired(TimePoint now)
 {
     std::vector<std::string> removedIds;
-    std::erase_if(m_departures, [&](const auto& item) { return now - item.second.at >= departureMemory; });
+    if (!m_eraGrace.contains(now))
+        std::erase_if(m_departures, [&](const auto& item) { return now - item.second.at >= departureMemory; });
+    const bool holdsDrains = holdsEarlierEra(now);
+    for (auto& [id, target] : m_targets)
+        target.isDrainHeld = target.isDrainHeld && holdsDrains;
     if (mayBeMissing(now))
         return removedIds;
-    const bool holdsDrains = isInEraGrace(now);
-    for (auto& [id, target] : m_targets) {
-        target.isDrainHeld = target.isDrainHeld && holdsDrains;
+    for (const auto& [id, target] : m_targets) {
         if (target.isAwaitingRemoval)
             removedIds.push_back(id);
     }
