Spread requests that their region may not serve by spare capacity

Cause: while a region keeps all of its unrestricted requests, the split gives the other regions fractions of 0. A request that several regions may serve, but not its callers' region, was weighed by these and always went to the first of them by name.

Change: the spare capacity of the other regions is kept as a split of its own (RegionSplit::elsewhere), which moves by the same steps. Requests that may stay are chosen as before.

Result: RegionShift.SpreadsWhatItsRegionMayNotServeBySpareCapacity fails on the old choice (none of 3,000 affinity values in the second region, none moves when the spare capacity does) and passes; the other RegionShift tests pass on both.

--- a/include/arbutuscrank/entry/target_selection.hpp
+++ b/include/arbutuscrank/entry/target_selection.hpp
@@ -60,6 +60,9 @@
 struct RegionSplit {
     /// Fraction of the affinity values by region, including this VM's; the sum is 1
     std::map<std::string, double> fractions;
+    /// Fraction of the affinity values that this VM's region may not serve, by region; the sum is 1 unless only this
+    /// VM's region has targets
+    std::map<std::string, double> elsewhere;
     /// Regions of which other regions' callers use a large part, because no other region may serve their requests.
     /// Such a region serves the objects of callers of all regions, so that an object gets one target there.
     std::set<std::string> sharedRegions;
@@ -103,12 +106,23 @@
         /// Takes a region's restricted requests out of \ref perSecond. \param slots by region with targets
         void subtract(const std::string& callers, const std::map<std::string, double, std::less<>>& restricted,
             const std::map<std::string, double>& slots);
+        /// Sum of \ref perSecond; 0 if it is too small to be reported
+        [[nodiscard]] double total() const;
+        /// Unrestricted demand of a region's callers, or a fraction if nothing is reported.
+        /// \param regions number of regions with targets
+        [[nodiscard]] double of(const std::string& region, std::size_t regions) const;
+        /// Unrestricted demand that a region serves before its own callers' requests leave it, in the unit of \ref of.
+        /// \param slotFraction the region's fraction of all slots
+        [[nodiscard]] double fairPart(const std::string& region, double slotFraction) const;
     };
 
     [[nodiscard]] static std::set<std::string> sharedRegions(const std::map<std::string, double>& slots,
         const UnrestrictedDemand& demand, const std::set<std::string>& before);
-    [[nodiscard]] std::map<std::string, double> desiredFractions(
+    /// Spare capacity of the other regions as fractions of its sum.
+    [[nodiscard]] std::map<std::string, double> spareFractions(
         const std::map<std::string, double>& slots, const UnrestrictedDemand& demand) const;
+    [[nodiscard]] std::map<std::string, double> desiredFractions(const std::map<std::string, double>& slots,
+        const UnrestrictedDemand& demand, const std::map<std::string, double>& spare) const;
     [[nodiscard]] static const Candidate* leastLoaded(std::span<const Candidate> candidates, double maxLoad);
     /// \param candidates in rendezvous order
     [[nodiscard]] const Candidate* chooseByAffinity(
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -82,6 +82,12 @@
             values.begin(), values.end(), 0.0, [](double sum, const auto& item) { return sum + item.second; });
     }
 
+    double valueOf(const std::map<std::string, double>& values, const std::string& region)
+    {
+        const auto it = values.find(region);
+        return it == values.end() ? 0.0 : it->second;
+    }
+
     double toUnitInterval(std::uint64_t bits) { return (static_cast<double>(bits >> 11U) + 0.5) * 0x1.0p-53; }
 
     /// Weight of a target in rendezvous hashing. A target with twice the slots receives twice the affinity values.
@@ -110,10 +116,12 @@
     const auto allowed = [&](const std::string& region) {
         return isAllowed(placement.routeRegions, region) && isAllowed(placement.accountRegions, region);
     };
-    const auto& fractions = split->second.fractions;
+    const bool mayStay = allowed(m_region);
+    // Where all unrestricted requests stay, the fractions of the other regions are 0 and cannot serve as weights.
+    const auto& fractions = mayStay ? split->second.fractions : split->second.elsewhere;
     const auto local = fractions.find(m_region);
     const double position = hasAffinity ? toUnitInterval(mixHashes(affinityHash, localityHashSeed)) : m_random.unit();
-    if (local != fractions.end() && allowed(m_region) && position < local->second)
+    if (local != fractions.end() && mayStay && position < local->second)
         return m_region;
     // Weighted rendezvous hashing moves only the necessary affinity values when the capacity of a region changes.
     std::string best = m_region;
@@ -256,14 +264,18 @@
         }
         auto& split = m_splits[service];
         split.sharedRegions = sharedRegions(bySlots, unrestricted, split.sharedRegions);
-        const auto desired = desiredFractions(bySlots, unrestricted);
+        const auto spare = spareFractions(bySlots, unrestricted);
+        const auto desired = desiredFractions(bySlots, unrestricted, spare);
         const double elapsed = std::chrono::duration<double>(now - split.updatedAt).count();
         const double step = shiftFractionPerSecond * m_bounds.maxRegionShift * elapsed;
         split.updatedAt = now;
-        if (isStarting)
+        if (isStarting) {
             split.fractions = desired;
-        else
+            split.elsewhere = spare;
+        } else {
             stepTowards(split.fractions, desired, step, shiftDeadBand);
+            stepTowards(split.elsewhere, spare, step, shiftDeadBand);
+        }
     }
 }
 
@@ -299,41 +311,58 @@
     return out;
 }
 
-std::map<std::string, double> TargetSelection::desiredFractions(
+double TargetSelection::UnrestrictedDemand::total() const
+{
+    const double sum = sumOf(perSecond);
+    return sum < minReportedDemand ? 0 : sum;
+}
+
+double TargetSelection::UnrestrictedDemand::of(const std::string& region, std::size_t regions) const
+{
+    // Without reported demand, all regions with targets are assumed to have equal demand.
+    return total() <= 0 ? 1.0 / static_cast<double>(regions) : valueOf(perSecond, region);
+}
+
+double TargetSelection::UnrestrictedDemand::fairPart(const std::string& region, double slotFraction) const
+{
+    const double all = (total() <= 0 ? 1 : total()) + sumOf(restrictedTo);
+    // What is restricted to a region has no other place to go, so it comes first.
+    return std::max(0.0, localPreference * all * slotFraction - valueOf(restrictedTo, region));
+}
+
+std::map<std::string, double> TargetSelection::spareFractions(
     const std::map<std::string, double>& slots, const UnrestrictedDemand& demand) const
 {
-    const auto valueOf = [](const std::map<std::string, double>& values, const std::string& region) {
-        const auto it = values.find(region);
-        return it == values.end() ? 0.0 : it->second;
-    };
     const double totalSlots = sumOf(slots);
-    const double reported = sumOf(demand.perSecond) < minReportedDemand ? 0 : sumOf(demand.perSecond);
-    // Without reported demand, all regions with targets are assumed to have equal demand.
-    const auto demandOf = [&](const std::string& region) {
-        return reported <= 0 ? 1.0 / static_cast<double>(slots.size()) : valueOf(demand.perSecond, region);
-    };
-    const double unrestricted = reported <= 0 ? 1 : reported;
-    const double all = unrestricted + sumOf(demand.restrictedTo);
-    double localFraction = 0;
-    double totalSpare = 0;
-    std::map<std::string, double> fractions;
+    const double unrestricted = demand.total() <= 0 ? 1 : demand.total();
+    std::map<std::string, double> out;
     for (const auto& [region, n] : slots) {
-        // What is restricted to a region has no other place to go, so it comes first.
-        const double fairDemand
-            = std::max(0.0, localPreference * all * n / totalSlots - valueOf(demand.restrictedTo, region));
-        const double ownDemand = demandOf(region);
-        if (region == m_region) {
-            localFraction = ownDemand <= fairDemand ? 1 : fairDemand / ownDemand;
+        if (region == m_region)
             continue;
-        }
-        fractions[region] = std::max(minSpareFraction * n / totalSlots, (fairDemand - ownDemand) / unrestricted);
-        totalSpare += fractions[region];
+        const double spare = demand.fairPart(region, n / totalSlots) - demand.of(region, slots.size());
+        out[region] = std::max(minSpareFraction * n / totalSlots, spare / unrestricted);
+    }
+    if (const double total = sumOf(out); total > 0) {
+        for (auto& [region, fraction] : out)
+            fraction /= total;
     }
-    for (auto& [region, fraction] : fractions)
-        fraction = totalSpare > 0 ? fraction * (1 - localFraction) / totalSpare : 0;
-    if (slots.contains(m_region))
-        fractions[m_region] = totalSpare > 0 ? localFraction : 1;
-    return fractions;
+    return out;
+}
+
+std::map<std::string, double> TargetSelection::desiredFractions(const std::map<std::string, double>& slots,
+    const UnrestrictedDemand& demand, const std::map<std::string, double>& spare) const
+{
+    auto out = spare;
+    const auto own = slots.find(m_region);
+    if (own == slots.end())
+        return out;
+    const double fairDemand = demand.fairPart(m_region, own->second / sumOf(slots));
+    const double ownDemand = demand.of(m_region, slots.size());
+    const double local = spare.empty() || ownDemand <= fairDemand ? 1 : fairDemand / ownDemand;
+    for (auto& [region, fraction] : out)
+        fraction *= 1 - local;
+    out[m_region] = local;
+    return out;
 }
 
 } // namespace arbutuscrank::entry
--- a/tests/entry/region_shift_failure_test.cpp
+++ b/tests/entry/region_shift_failure_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace arbutuscrank::entry::test {
@@ -32,25 +33,29 @@
         }
 
         /// Region selected for each of many affinity values.
-        std::vector<std::string> regions()
+        /// \param permitted regions of the account; empty means all
+        std::vector<std::string> regions(const std::vector<std::string>& permitted = {})
         {
             std::vector<std::string> out;
             for (int i = 0; i < 3000; ++i) {
                 const auto affinity = "read\n" + std::to_string(i);
-                const Placement placement { .service = "cart", .affinity = affinity, .idempotent = true };
+                const Placement placement {
+                    .service = "cart", .affinity = affinity, .accountRegions = &permitted, .idempotent = true
+                };
                 out.push_back(selection.choose(targets, placement, now).target->record.region);
             }
             return out;
         }
 
         /// Largest fraction of the affinity values that change their region from one window of 2 s to the next.
-        double largestShift(Duration duration, const Demand& demand, const RestrictedDemand& restricted = {})
+        double largestShift(Duration duration, const Demand& demand, const RestrictedDemand& restricted = {},
+            const std::vector<std::string>& permitted = {})
         {
             double largest = 0;
-            auto before = regions();
+            auto before = regions(permitted);
             for (Duration done {}; done < duration; done += seconds(2)) {
                 advance(seconds(2), demand, restricted);
-                const auto after = regions();
+                const auto after = regions(permitted);
                 double changed = 0;
                 for (std::size_t i = 0; i < after.size(); ++i)
                     changed += after[i] != before[i] ? 1 : 0;
@@ -115,6 +120,25 @@
     EXPECT_DOUBLE_EQ(selection.splits().at("cart").fractions.at("north"), 1);
 }
 
+// Guards against requests that all go to one region because their callers' region, which may not serve them, keeps all
+// others: the other regions then have no part of the split.
+TEST_F(RegionShift, SpreadsWhatItsRegionMayNotServeBySpareCapacity)
+{
+    const Demand demand { { "cart", { { "north", 50 }, { "south", 300 }, { "west", 350 } } } };
+    advance(seconds(8), demand);
+    ASSERT_DOUBLE_EQ(selection.splits().at("cart").fractions.at("north"), 1);
+    const std::vector<std::string> permitted { "south", "west" };
+    const auto chosen = regions(permitted);
+    const auto inSouth = std::ranges::count(chosen, "south");
+    // By their slots, south would take 402 requests per second and west 301.
+    EXPECT_GT(inSouth, 2550);
+    EXPECT_GT(std::ranges::count(chosen, "west"), 10);
+    // Spare capacity that moves to the other region moves the requests by steps.
+    const Demand after { { "cart", { { "north", 50 }, { "south", 400 }, { "west", 150 } } } };
+    EXPECT_LE(largestShift(seconds(20), after, {}, permitted), Bounds {}.maxRegionShift);
+    EXPECT_LT(std::ranges::count(regions(permitted), "south"), inSouth / 2);
+}
+
 // Guards against objects that evict each other: a region that has to serve the objects of all regions' callers gives
 // each of them one target, although it is busy.
 TEST_F(RegionShift, AnObjectUsesOneTargetInARegionThatRestrictedRequestsShare)
