Keep no state of the sharing of room while it is off

With sharing off, each request was still put into RoomSharing::decide, each answer was learned from, and the work by priority was sent in all reports. Since updates ran only while it was on, the classes of requests were never removed.

The state holds a RoomSharing only where the settings ask for it. Reports leave the field out while there is no work to report; since earlier versions cannot decode that, the protocol version is 6.

Tests: RoomSharing.LearnsAndReportsNothingWhileItIsOff and MessageCodec.OmitsTheWorkByPriorityWhereNoneIsReported.

--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -34,7 +34,8 @@
     /// Requests per second that their route or account restricts to a single region, by that region
     std::map<std::string, double, std::less<>> restrictedPerSecond;
     /// Work that callers ask for, refused requests included, by priority: requests per second times the seconds that
-    /// a target usually works on one, which is the number of slots that they keep busy
+    /// a target usually works on one, which is the number of slots that they keep busy.
+    /// Empty unless the reporting VM shares room.
     std::map<std::uint32_t, double> slotsByPriority;
 
     friend bool operator==(const ServiceMix&, const ServiceMix&) = default;
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -97,7 +97,7 @@
     TargetSelection selection;
     QuotaSharing quota;
     RetryLimit retryLimit;
-    RoomSharing room;
+    std::optional<RoomSharing> room; ///< only with \ref EntrySettings::sharesRoom
     MemberTable members;
     bool hasMemberList = false; ///< the list of registered VMs has been read
     Coordination coordination;
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -101,6 +101,12 @@
         };
     }
 
+    /// Load per slot up to which a request may wait at a target.
+    double maxLoad(const EntryState& state, const RoomAsk& ask)
+    {
+        return state.room ? state.room->maxLoad(ask) : defaultMaxLoad(ask.priority);
+    }
+
     TargetChoice chooseTarget(EntryState& state, const Request& request, double maxLoad, TimePoint now)
     {
         const Placement placement {
@@ -120,7 +126,8 @@
     {
         auto& demand = state.serviceDemand[request.service];
         ++demand.admittedSinceUpdate;
-        demand.workSinceUpdate[request.priority] += state.room.meanWork(request.route);
+        if (state.room)
+            demand.workSinceUpdate[request.priority] += state.room->meanWork(request.route);
         if (const auto regions = permittedRegions(request); regions.size() == 1)
             ++demand.restrictedSinceUpdate[regions.front()];
     }
@@ -181,9 +188,9 @@
             return false;
         const auto ask = roomAsk(request, now);
         // A request that may have run fails without a retry, which is worse than a late answer.
-        if (!request.mayHaveRun && !state.room.permitsFurtherAttempt(ask))
+        if (state.room && !request.mayHaveRun && !state.room->permitsFurtherAttempt(ask))
             return false;
-        const auto choice = chooseTarget(state, request, state.room.maxLoad(ask), now);
+        const auto choice = chooseTarget(state, request, maxLoad(state, ask), now);
         if (!choice.target || !state.retryLimit.tryTakeRetry(request.service, now))
             return false;
         send(state, id, request, choice, now, out);
@@ -338,7 +345,9 @@
     {
         countDemand(state, request);
         state.retryLimit.countRequest(request.service, now);
-        const auto decision = state.room.decide(roomAsk(request, now), state.random);
+        const auto ask = roomAsk(request, now);
+        const auto decision
+            = state.room ? state.room->decide(ask, state.random) : Admit { defaultMaxLoad(ask.priority) };
         if (const auto* rejected = std::get_if<RejectForRoom>(&decision)) {
             admission::returnToken(state, request, out);
             answerLocally(state, id, request, 503, "room-shared", rejected->retryAfter,
@@ -432,7 +441,8 @@
     }
     if (event.kind == Complete) {
         recordDuration(state, request, durationSeconds);
-        state.room.recordAttempt(request.route, now - attempt.sentAt, attempt.loadPerSlot, now);
+        if (state.room)
+            state.room->recordAttempt(request.route, now - attempt.sentAt, attempt.loadPerSlot, now);
         out.push_back(DeliverAnswer { event.request, event.attempt, request.account, request.service });
         attempts::finish(state, event.request, now, out);
         return;
--- a/src/entry/reduce.cpp
+++ b/src/entry/reduce.cpp
@@ -8,6 +8,7 @@
     , selection(settings.region, settings.bounds, seed + 1)
     , quota(settings.bounds, settings.failureDomain)
     , retryLimit(settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack)
+    , room(settings.sharesRoom ? std::optional<RoomSharing>(std::in_place) : std::nullopt)
     , members(self)
     , coordination(std::move(self))
 {
--- a/src/entry/reduce_room.cpp
+++ b/src/entry/reduce_room.cpp
@@ -22,7 +22,7 @@
             if (!state.targets.isInService(target) || target.ejection != Ejection::None || target.isPaused(now))
                 continue;
             double slots = target.record.slots * roomPerSlot;
-            const double work = state.room.meanServiceWork(target.record.service);
+            const double work = state.room->meanServiceWork(target.record.service);
             if (const auto rate = allowedRate(state.targets, target, state.policy, now); rate && work > 0)
                 slots = std::min(slots, *rate * work);
             out[target.record.service] += slots;
@@ -42,7 +42,7 @@
 
 void updateRoomSharing(EntryState& state, double elapsedSeconds, TimePoint now, Effects& out)
 {
-    if (!state.settings.sharesRoom)
+    if (!state.room)
         return;
     static const ServiceMix noDemand;
     const auto mixes = fleetMixes(state, now);
@@ -52,7 +52,7 @@
         const auto found = slots.find(service.name);
         const double room = found == slots.end() ? 0 : found->second;
         const auto& work = (mix == mixes.end() ? noDemand : mix->second).slotsByPriority;
-        const auto change = state.room.update(service.name, room, work, elapsedSeconds);
+        const auto change = state.room->update(service.name, room, work, elapsedSeconds);
         if (!change)
             continue;
         double asked = 0;
@@ -60,7 +60,7 @@
             asked += part;
         out.push_back(WriteLog { LogEvent::RoomShared,
             fmt::format("service={} shared={} slots={:.1f} asked={:.1f} fractions={} rejected={}", service.name,
-                change->isShared, room, asked, describe(state.room.fractions(service.name)), change->rejected) });
+                change->isShared, room, asked, describe(state.room->fractions(service.name)), change->rejected) });
     }
 }
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -504,8 +504,8 @@
     addMetric("gauge", "targets_limited", std::ranges::count_if(m_state.targets.all(), [&](const auto& item) {
         return item.second.rateLimit(now).has_value();
     }));
-    addMetric("gauge", "services_sharing_room", m_state.room.sharedServiceCount());
-    addMetric("gauge", "room_least_fraction", m_state.room.leastFraction());
+    addMetric("gauge", "services_sharing_room", m_state.room ? m_state.room->sharedServiceCount() : 0);
+    addMetric("gauge", "room_least_fraction", m_state.room ? m_state.room->leastFraction() : 1);
     addMetric("gauge", "members_known", m_state.members.fleetSize());
     addMetric("counter", "store_calls_total", m_store->platformCalls());
     addMetric("counter", "store_calls_failed_total", m_failedStoreCalls);
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -12,7 +12,7 @@
     using std::chrono::milliseconds;
 
     /// Raised with each change of a message that processes of an earlier version cannot decode.
-    constexpr int protocolVersion = 5;
+    constexpr int protocolVersion = 6;
 
     /// First element of a message. Numbers are never reused.
     enum class MessageKind : std::uint8_t {
@@ -71,12 +71,14 @@
             auto restricted = Json::object();
             for (const auto& [region, perSecond] : mix.restrictedPerSecond)
                 restricted[region] = static_cast<float>(perSecond);
-            auto slots = Json::array();
+            auto& parts = out[service] = Json::array({ std::move(restricted) });
+            if (mix.slotsByPriority.empty())
+                continue;
+            auto& slots = parts.emplace_back(Json::array());
             for (const auto& [priority, busy] : mix.slotsByPriority) {
                 slots.push_back(priority);
                 slots.push_back(static_cast<float>(busy));
             }
-            out[service] = { std::move(restricted), std::move(slots) };
         }
         return out;
     }
@@ -88,6 +90,8 @@
             auto& mix = out[service];
             for (const auto& [region, perSecond] : parts.at(0).items())
                 mix.restrictedPerSecond[region] = perSecond.get<double>();
+            if (parts.size() < 2)
+                continue; // the sender does not share room
             const auto& slots = parts.at(1);
             for (std::size_t i = 0; i + 1 < slots.size(); i += 2)
                 mix.slotsByPriority[slots.at(i).get<std::uint32_t>()] = slots.at(i + 1).get<double>();
--- a/tests/entry/room_sharing_test.cpp
+++ b/tests/entry/room_sharing_test.cpp
@@ -251,7 +251,35 @@
         entry.useTargets({ makeTarget("t1") });
         entry.state.serviceDemand["cart"].mix = { .slotsByPriority = { { 0, 6 }, { 1, 30 } } };
         entry.handle(Tick {});
-        EXPECT_EQ(entry.state.room.sharedServiceCount(), sharesRoom ? 1U : 0U);
+        EXPECT_EQ(entry.state.room ? entry.state.room->sharedServiceCount() : 0U, sharesRoom ? 1U : 0U);
+    }
+}
+
+// Guards against work learned, and reported to other VMs, for a decision that is not in use.
+TEST(RoomSharing, LearnsAndReportsNothingWhileItIsOff)
+{
+    for (const bool sharesRoom : { false, true }) {
+        auto settings = makeSettings();
+        settings.sharesRoom = sharesRoom;
+        Entry entry(1, makePolicy(), settings);
+        entry.useTargets({ makeTarget("t1") });
+        std::size_t reportsOfWork = 0;
+        for (int i = 0; i < 60; ++i) {
+            const auto id = entry.request("/read/7");
+            const auto sent = entry.last<SendAttempt>();
+            ASSERT_TRUE(sent);
+            entry.now += milliseconds(100);
+            entry.handle(AttemptAnswered { .request = id, .attempt = sent->attempt, .status = 200 });
+            entry.handle(PolicyConfirmed { entry.now });
+            entry.handle(Tick {});
+            reportsOfWork += entry.state.serviceDemand.at("cart").mix.slotsByPriority.empty() ? 0 : 1;
+            entry.effects.clear();
+        }
+        if (sharesRoom)
+            EXPECT_GT(reportsOfWork, 50U);
+        else
+            EXPECT_EQ(reportsOfWork, 0U);
+        EXPECT_EQ(entry.state.room.has_value(), sharesRoom);
     }
 }
 
@@ -317,11 +345,11 @@
         entry.advance(milliseconds(200));
     }
     EXPECT_FALSE(entry.state.coordination.isCoordinator());
-    EXPECT_LT(entry.state.room.leastFraction(), 1);
-    EXPECT_EQ(entry.state.room.sharedServiceCount(), 1U);
+    EXPECT_LT(entry.state.room->leastFraction(), 1);
+    EXPECT_EQ(entry.state.room->sharedServiceCount(), 1U);
     entry.advance(seconds(3));
-    EXPECT_EQ(entry.state.room.leastFraction(), 1);
-    EXPECT_EQ(entry.state.room.sharedServiceCount(), 0U);
+    EXPECT_EQ(entry.state.room->leastFraction(), 1);
+    EXPECT_EQ(entry.state.room->sharedServiceCount(), 0U);
 }
 
 } // namespace arbutuscrank::entry::test
--- a/tests/node/message_codec_test.cpp
+++ b/tests/node/message_codec_test.cpp
@@ -47,6 +47,16 @@
     EXPECT_EQ(it.inFlight, report.inFlight);
 }
 
+// Guards against a field for work that the sender does not report because it shares no room.
+TEST(MessageCodec, OmitsTheWorkByPriorityWhereNoneIsReported)
+{
+    const DomainReport report { .mixes = { { "cart", { .restrictedPerSecond = { { "north", 2.5 } } } } } };
+    const auto encoded = encodeMessage(report);
+    const auto json = nlohmann::json::from_cbor(encoded.begin(), encoded.end());
+    EXPECT_NE(json.dump().find(R"({"cart":[{"north":2.5}]})"), std::string::npos) << json.dump();
+    EXPECT_EQ(roundTrip(report).mixes, report.mixes);
+}
+
 // Guards against a digest whose domains lose their accounts on the way to another VM.
 TEST(MessageCodec, RoundTripsADigestWithTheAccountsOfDomains)
 {
