Reject for want of room only what displaces others, by the route too

Besides, requests were rejected while their target had free slots, since the demand seen is larger than the work: learned work contains the round trip, and rejected callers ask again.

Room is shared by RequestRank: the priority that applies (the account's before the route's, as before), and then the route's. The target is chosen before the decision, and a request that leaves a tenth of its target's slots free is admitted whatever its fraction; a late retry or hedged request likewise.

--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <arbutuscrank/core/types.hpp>
+#include <arbutuscrank/entry/request_rank.hpp>
 
 #include <cstdint>
 #include <map>
@@ -33,10 +34,10 @@
 struct ServiceMix {
     /// Requests per second that their route or account restricts to a single region, by that region
     std::map<std::string, double, std::less<>> restrictedPerSecond;
-    /// Work that callers ask for, refused requests included, by priority: requests per second times the seconds that
+    /// Work that callers ask for, refused requests included: requests per second times the seconds that
     /// a target usually works on one, which is the number of slots that they keep busy.
     /// Empty unless the reporting VM shares room.
-    std::map<std::uint32_t, double> slotsByPriority;
+    std::map<RequestRank, double> slotsByRank;
 
     friend bool operator==(const ServiceMix&, const ServiceMix&) = default;
 };
--- a/include/arbutuscrank/entry/room_sharing.hpp
+++ b/include/arbutuscrank/entry/room_sharing.hpp
@@ -2,6 +2,7 @@
 
 #include <arbutuscrank/core/random.hpp>
 #include <arbutuscrank/core/types.hpp>
+#include <arbutuscrank/entry/request_rank.hpp>
 #include <arbutuscrank/entry/route_work.hpp>
 
 #include <cstdint>
@@ -17,20 +18,20 @@
 
 namespace arbutuscrank::entry {
 
-/// \brief Work by priority, in slots that it keeps busy; 0 is the highest priority.
-using WorkByPriority = std::map<std::uint32_t, double>;
+/// \brief Work by rank, in slots that it keeps busy.
+using WorkByRank = std::map<RequestRank, double>;
 
-/// \brief Fraction of the requests of each priority that may be admitted, from 0 to 1.
-using AdmittedFractions = std::map<std::uint32_t, double>;
+/// \brief Fraction of the requests of each rank that may be admitted, from 0 to 1.
+using AdmittedFractions = std::map<RequestRank, double>;
 
-/// \brief Shares the room of a service among priorities, from the highest one down. Each keeps a floor.
+/// \brief Shares the room of a service among ranks, from the most urgent one down. Each keeps a floor.
 ///
-/// The fractions are 1 if the work fits in the slots or has one priority only. The fraction of a priority is never
-/// below that of a lower one, and the admitted work never exceeds the slots. Without any slot they are 1, because
+/// The fractions are 1 if the work fits in the slots or has one rank only. The fraction of a rank is never
+/// below that of a less urgent one, and the admitted work never exceeds the slots. Without any slot they are 1, because
 /// such requests are refused for lack of a target.
 /// \param slots slots of the targets that take requests
 /// \param work work asked for over all VMs, rejected requests included
-[[nodiscard]] AdmittedFractions shareRoom(double slots, const WorkByPriority& work);
+[[nodiscard]] AdmittedFractions shareRoom(double slots, const WorkByRank& work);
 
 /// \brief Load per slot up to which a request queues at a target while the service has room.
 [[nodiscard]] double defaultMaxLoad(std::uint32_t priority) noexcept;
@@ -39,9 +40,10 @@
 struct RoomAsk {
     std::string_view service;
     std::string_view route;
-    std::uint32_t priority = 0;
+    RequestRank rank;
     Duration objectiveLeft {}; ///< time left of the latency objective; may be negative
     Duration timeLeft {}; ///< time left until the deadline
+    double loadPerSlot = 1; ///< load per slot of the chosen target, the request included
 };
 
 /// \brief The request is sent to a target. It runs now, or waits in the target's queue.
@@ -63,15 +65,16 @@
     std::uint64_t rejected = 0; ///< requests rejected at this VM since sharing began
 };
 
-/// \brief Shares the room of services among requests of different priority, deadline and work.
+/// \brief Shares the room of services among requests of different rank, deadline and work.
 ///
 /// Answers the load in which callers ask for more work of a service than its targets have slots for. The fractions by
-/// priority follow from reports that all VMs receive, so no VM has to ask another one. Within a priority, each VM
-/// prefers requests that can be answered within their objective, then those of routes that need less work.
+/// rank follow from reports that all VMs receive, so no VM has to ask another one. Within a rank, each VM prefers
+/// requests that can be answered within their objective, then those of routes that need less work. A request that
+/// displaces nothing at its target is admitted whatever the fraction.
 ///
 /// \code
 /// sharing.update("cart", slots, work, elapsedSeconds);
-/// const auto decision = sharing.decide({ .service = "cart", .route = "read", .priority = 1 }, random);
+/// const auto decision = sharing.decide({ .service = "cart", .route = "read", .rank = 1 }, random);
 /// if (const auto* rejected = std::get_if<RejectForRoom>(&decision))
 ///     refuse(rejected->retryAfter);
 /// \endcode
@@ -94,7 +97,7 @@
     /// \param elapsedSeconds time since the last update
     /// \returns a change to be logged
     std::optional<SharingChange> update(
-        std::string_view service, double slots, const WorkByPriority& work, double elapsedSeconds);
+        std::string_view service, double slots, const WorkByRank& work, double elapsedSeconds);
 
     /// \brief Decides about the first attempt of a request.
     [[nodiscard]] RoomDecision decide(const RoomAsk& ask, Random& random);
@@ -102,19 +105,19 @@
     /// \brief Load per slot up to which a request may wait at a target.
     [[nodiscard]] double maxLoad(const RoomAsk& ask) const;
 
-    /// \brief Whether a retry or hedged request may use room. While requests of its priority are rejected, it may not
-    /// if it would be answered too late.
+    /// \brief Whether a retry or hedged request may use room. While requests of its rank are rejected, it may not if it
+    /// would be answered too late and displace others.
     [[nodiscard]] bool permitsFurtherAttempt(const RoomAsk& ask) const;
 
     /// \brief Fractions of a service; empty if its room is not shared.
     [[nodiscard]] AdmittedFractions fractions(std::string_view service) const;
     /// \brief Number of services whose room is shared.
     [[nodiscard]] std::size_t sharedServiceCount() const noexcept;
-    /// \brief Least fraction over all services and priorities; 1 if no room is shared.
+    /// \brief Least fraction over all services and ranks; 1 if no room is shared.
     [[nodiscard]] double leastFraction() const noexcept;
 
 private:
-    /// Requests of a priority that are preferred or rejected together.
+    /// Requests of a rank that are preferred or rejected together.
     struct Class {
         double requestsPerSecond = 0; ///< smoothed
         std::uint32_t requestsSinceUpdate = 0;
@@ -126,7 +129,7 @@
     using ClassKey = std::pair<bool, std::string>;
     using Classes = std::map<ClassKey, Class>;
     struct Service {
-        std::map<std::uint32_t, Classes> classes; ///< by priority
+        std::map<RequestRank, Classes> classes;
         AdmittedFractions fractions;
         double floor = 1;
         bool isShared = false;
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -43,7 +43,7 @@
     std::vector<std::string> accountRegions;
     bool idempotent = false;
     bool mayHaveRun = false; ///< a target may have run the request without a successful answer
-    std::uint32_t priority = 0;
+    RequestRank rank;
     std::uint32_t maxAttempts = 1;
     /// Attempts that count towards \ref maxAttempts: those that are in flight or of which a target may have received
     /// bytes
@@ -69,7 +69,7 @@
     std::uint32_t admittedSinceUpdate = 0; ///< requests admitted since the last update of \ref perSecond
     ServiceMix mix; ///< smoothed
     std::map<std::string, double, std::less<>> restrictedSinceUpdate; ///< requests by region, as in \ref ServiceMix
-    std::map<std::uint32_t, double> workSinceUpdate; ///< seconds of work by priority
+    std::map<RequestRank, double> workSinceUpdate; ///< seconds of work
 };
 
 /// \brief Load of the whole fleet as reported by the coordinator.
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -95,7 +95,7 @@
         return {
             .service = request.service,
             .route = request.route,
-            .priority = request.priority,
+            .rank = request.rank,
             .objectiveLeft = hasObjective ? request.arrivedAt + request.latencyObjective - now : timeLeft,
             .timeLeft = timeLeft,
         };
@@ -104,7 +104,7 @@
     /// Load per slot up to which a request may wait at a target.
     double maxLoad(const EntryState& state, const RoomAsk& ask)
     {
-        return state.room ? state.room->maxLoad(ask) : defaultMaxLoad(ask.priority);
+        return state.room ? state.room->maxLoad(ask) : defaultMaxLoad(ask.rank.priority);
     }
 
     TargetChoice chooseTarget(EntryState& state, const Request& request, double maxLoad, TimePoint now)
@@ -121,13 +121,19 @@
         return state.selection.choose(state.targets, placement, now);
     }
 
+    /// Load per slot of a target with one more request; 1 if all targets are full.
+    double loadWithRequest(const Target* target, TimePoint now)
+    {
+        return target ? (target->load(now) + 1) / std::max(1U, target->record.slots) : 1;
+    }
+
     /// Counts a request in the demand for its service.
     void countDemand(EntryState& state, const Request& request)
     {
         auto& demand = state.serviceDemand[request.service];
         ++demand.admittedSinceUpdate;
         if (state.room)
-            demand.workSinceUpdate[request.priority] += state.room->meanWork(request.route);
+            demand.workSinceUpdate[request.rank] += state.room->meanWork(request.route);
         if (const auto regions = permittedRegions(request); regions.size() == 1)
             ++demand.restrictedSinceUpdate[regions.front()];
     }
@@ -164,7 +170,7 @@
                 "request={} attempt={} route={} affinity={} target={} service={} number={} priority={} load={:.1f}/{} "
                 "cold={} trial={}",
                 request.callerRequestId, attempt, request.route, affinityKey(request), target.record.id,
-                request.service, request.countedAttempts, request.priority, target.load(now), target.record.slots,
+                request.service, request.countedAttempts, request.rank.priority, target.load(now), target.record.slots,
                 target.isCold(now), choice.isTrial) });
         const auto typical = typicalDuration(state, request);
         if (request.idempotent && typical > Duration::zero()) {
@@ -186,11 +192,12 @@
     {
         if (request.countedAttempts >= request.maxAttempts || !hasTimeForRetry(state, request, now))
             return false;
-        const auto ask = roomAsk(request, now);
+        auto ask = roomAsk(request, now);
+        const auto choice = chooseTarget(state, request, maxLoad(state, ask), now);
+        ask.loadPerSlot = loadWithRequest(choice.target, now);
         // A request that may have run fails without a retry, which is worse than a late answer.
         if (state.room && !request.mayHaveRun && !state.room->permitsFurtherAttempt(ask))
             return false;
-        const auto choice = chooseTarget(state, request, maxLoad(state, ask), now);
         if (!choice.target || !state.retryLimit.tryTakeRetry(request.service, now))
             return false;
         send(state, id, request, choice, now, out);
@@ -345,18 +352,19 @@
     {
         countDemand(state, request);
         state.retryLimit.countRequest(request.service, now);
-        const auto ask = roomAsk(request, now);
-        const auto decision
-            = state.room ? state.room->decide(ask, state.random) : Admit { defaultMaxLoad(ask.priority) };
+        auto ask = roomAsk(request, now);
+        const auto choice = chooseTarget(state, request, maxLoad(state, ask), now);
+        ask.loadPerSlot = loadWithRequest(choice.target, now);
+        const auto decision = state.room ? state.room->decide(ask, state.random) : Admit {};
         if (const auto* rejected = std::get_if<RejectForRoom>(&decision)) {
             admission::returnToken(state, request, out);
             answerLocally(state, id, request, 503, "room-shared", rejected->retryAfter,
-                fmt::format("priority={} cause={} retry_after_ms={}", request.priority, rejected->cause,
-                    rejected->retryAfter / milliseconds(1)),
+                fmt::format("priority={} route_priority={} cause={} retry_after_ms={} load_per_slot={:.2f}",
+                    request.rank.priority, request.rank.routePriority, rejected->cause,
+                    rejected->retryAfter / milliseconds(1), ask.loadPerSlot),
                 now, out);
             return;
         }
-        const auto choice = chooseTarget(state, request, std::get<Admit>(decision).maxLoad, now);
         if (choice.target)
             send(state, id, request, choice, now, out);
         else
--- a/src/entry/reduce_fleet.cpp
+++ b/src/entry/reduce_fleet.cpp
@@ -79,7 +79,7 @@
             demand.perSecond += weight * (demand.admittedSinceUpdate / elapsedSeconds - demand.perSecond);
             demand.admittedSinceUpdate = 0;
             updateAverages(demand.mix.restrictedPerSecond, demand.restrictedSinceUpdate, elapsedSeconds, weight);
-            updateAverages(demand.mix.slotsByPriority, demand.workSinceUpdate, elapsedSeconds, workWeight);
+            updateAverages(demand.mix.slotsByRank, demand.workSinceUpdate, elapsedSeconds, workWeight);
         }
     }
 
@@ -93,7 +93,7 @@
     {
         for (const auto& [service, mix] : terms) {
             addValues(sums[service].restrictedPerSecond, mix.restrictedPerSecond);
-            addValues(sums[service].slotsByPriority, mix.slotsByPriority);
+            addValues(sums[service].slotsByRank, mix.slotsByRank);
         }
     }
 
--- a/src/entry/reduce_requests.cpp
+++ b/src/entry/reduce_requests.cpp
@@ -31,7 +31,7 @@
             .affinity = event.affinity.empty() ? std::string() : route.name + '\n' + event.affinity,
             .routeRegions = route.regions,
             .idempotent = route.idempotent,
-            .priority = route.priority,
+            .rank = { route.priority, route.priority },
             .maxAttempts = route.maxAttempts,
             .arrivedAt = now,
             .deadline = now + std::min(event.timeLeft.value_or(route.timeout), route.timeout),
@@ -40,7 +40,7 @@
         if (account) {
             request.account = account->name;
             request.accountRegions = account->regions;
-            request.priority = account->priority.value_or(route.priority);
+            request.rank.priority = account->priority.value_or(route.priority);
         }
         return request;
     }
--- a/src/entry/reduce_room.cpp
+++ b/src/entry/reduce_room.cpp
@@ -33,8 +33,8 @@
     std::string describe(const AdmittedFractions& fractions)
     {
         std::string out;
-        for (const auto& [priority, fraction] : fractions)
-            out += fmt::format("{}{}:{:.2f}", out.empty() ? "" : ",", priority, fraction);
+        for (const auto& [rank, fraction] : fractions)
+            out += fmt::format("{}{}.{}:{:.2f}", out.empty() ? "" : ",", rank.priority, rank.routePriority, fraction);
         return out;
     }
 
@@ -51,12 +51,12 @@
         const auto mix = mixes.find(service.name);
         const auto found = slots.find(service.name);
         const double room = found == slots.end() ? 0 : found->second;
-        const auto& work = (mix == mixes.end() ? noDemand : mix->second).slotsByPriority;
+        const auto& work = (mix == mixes.end() ? noDemand : mix->second).slotsByRank;
         const auto change = state.room->update(service.name, room, work, elapsedSeconds);
         if (!change)
             continue;
         double asked = 0;
-        for (const auto& [priority, part] : work)
+        for (const auto& [rank, part] : work)
             asked += part;
         out.push_back(WriteLog { LogEvent::RoomShared,
             fmt::format("service={} shared={} slots={:.1f} asked={:.1f} fractions={} rejected={}", service.name,
--- a/src/entry/room_sharing.cpp
+++ b/src/entry/room_sharing.cpp
@@ -42,12 +42,18 @@
     constexpr Duration minRetrySpread = milliseconds(450);
     constexpr Duration retrySpreadAtHalf = milliseconds(800);
 
+    /// Load per slot of a target, with the request, up to which the request displaces nothing: it runs at once, and a
+    /// more urgent one that arrives while it runs still finds a slot at a target of 10 slots or at one of its homes.
+    constexpr double maxFreeLoad = sharedUtilisation;
+
+    bool displacesOthers(const RoomAsk& ask) { return ask.loadPerSlot > maxFreeLoad; }
+
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-    double sumOf(const WorkByPriority& work)
+    double sumOf(const WorkByRank& work)
     {
         double sum = 0;
-        for (const auto& [priority, slots] : work)
+        for (const auto& [rank, slots] : work)
             sum += slots;
         return sum;
     }
@@ -76,7 +82,7 @@
 
 } // namespace
 
-AdmittedFractions shareRoom(double slots, const WorkByPriority& work)
+AdmittedFractions shareRoom(double slots, const WorkByRank& work)
 {
     AdmittedFractions out;
     const auto asking = std::ranges::count_if(work, [](const auto& item) { return item.second >= minWork; });
@@ -84,12 +90,12 @@
     const bool isShared = asking > 1 && slots > 0 && total > slots;
     const double floor = isShared ? floorFor(slots, total) : 1;
     double left = sharedSlots(slots, total) - floor * total;
-    for (const auto& [priority, asked] : work) {
-        out[priority] = floor;
+    for (const auto& [rank, asked] : work) {
+        out[rank] = floor;
         if (!isShared || asked <= 0)
             continue;
         const double extra = std::min((1 - floor) * asked, left);
-        out[priority] += extra / asked;
+        out[rank] += extra / asked;
         left -= extra;
     }
     return out;
@@ -127,7 +133,7 @@
         return 0;
     double work = 0;
     double requests = 0;
-    for (const auto& [priority, classes] : it->second.classes) {
+    for (const auto& [rank, classes] : it->second.classes) {
         for (const auto& [key, item] : classes) {
             work += item.requestsPerSecond * meanWork(key.second);
             requests += item.requestsPerSecond;
@@ -167,7 +173,7 @@
 }
 
 std::optional<SharingChange> RoomSharing::update(
-    std::string_view service, double slots, const WorkByPriority& work, double elapsedSeconds)
+    std::string_view service, double slots, const WorkByRank& work, double elapsedSeconds)
 {
     auto found = m_services.find(service);
     if (found == m_services.end())
@@ -176,14 +182,14 @@
     const double weight = 1 - std::exp(-elapsedSeconds / classSmoothingSeconds);
     state.fractions = shareRoom(slots, work);
     state.floor = floorFor(slots, sumOf(work));
-    for (auto& [priority, classes] : state.classes) {
+    for (auto& [rank, classes] : state.classes) {
         for (auto& [key, item] : classes) {
             if (elapsedSeconds > 0)
                 item.requestsPerSecond += weight * (item.requestsSinceUpdate / elapsedSeconds - item.requestsPerSecond);
             item.requestsSinceUpdate = 0;
         }
         std::erase_if(classes, [](const auto& entry) { return entry.second.requestsPerSecond < minRequestRate; });
-        const auto it = state.fractions.find(priority);
+        const auto it = state.fractions.find(rank);
         updateClasses(classes, it == state.fractions.end() ? 1 : it->second, state.floor);
     }
     const bool isNeeded = std::ranges::any_of(state.fractions, [](const auto& item) { return item.second < 1; });
@@ -203,16 +209,16 @@
 
 double RoomSharing::maxLoad(const RoomAsk& ask) const
 {
-    const double most = defaultMaxLoad(ask.priority);
+    const double most = defaultMaxLoad(ask.rank.priority);
     const auto it = m_services.find(ask.service);
     const double typicalWait = meanServiceWork(ask.service);
     if (it == m_services.end() || !it->second.isShared || typicalWait <= 0)
         return most;
     // Lower priorities may not wait longer, so the limit stays above theirs.
-    const double least = defaultMaxLoad(ask.priority + 1);
+    const double least = defaultMaxLoad(ask.rank.priority + 1);
     const auto* work = findWork(ask.route);
     const bool isMostUrgent
-        = std::ranges::none_of(it->second.fractions, [&](const auto& item) { return item.first < ask.priority; });
+        = std::ranges::none_of(it->second.fractions, [&](const auto& item) { return item.first < ask.rank; });
     const double waitSeconds = isMostUrgent ? seconds(ask.timeLeft) - (work ? work->quantile(slowQuantile) : 0)
                                             : seconds(ask.objectiveLeft) - (work ? work->quantile(0.5) : 0);
     return std::clamp(1 + waitSeconds / typicalWait, least, most);
@@ -223,8 +229,8 @@
     const auto it = m_services.find(ask.service);
     if (it == m_services.end())
         return true;
-    const auto fraction = it->second.fractions.find(ask.priority);
-    return fraction == it->second.fractions.end() || fraction->second >= 1 || !isLate(ask);
+    const auto fraction = it->second.fractions.find(ask.rank);
+    return fraction == it->second.fractions.end() || fraction->second >= 1 || !isLate(ask) || !displacesOthers(ask);
 }
 
 RoomDecision RoomSharing::decide(const RoomAsk& ask, Random& random)
@@ -233,8 +239,8 @@
     if (found == m_services.end())
         found = m_services.emplace(std::string(ask.service), Service()).first;
     auto& service = found->second;
-    auto& classes = service.classes[ask.priority];
-    const auto fraction = service.fractions.find(ask.priority);
+    auto& classes = service.classes[ask.rank];
+    const auto fraction = service.fractions.find(ask.rank);
     const auto [it, isNew] = classes.try_emplace(ClassKey { isLate(ask), std::string(ask.route) });
     auto& item = it->second;
     if (isNew && fraction != service.fractions.end())
@@ -246,7 +252,7 @@
             ++service.rejected;
             return RejectForRoom { "deadline", minRetryAfter };
         }
-        if (item.fraction < 1) {
+        if (item.fraction < 1 && displacesOthers(ask)) {
             // Random initial credits keep the VMs from all admitting their first request.
             if (!item.credit)
                 item.credit = random.unit();
@@ -277,7 +283,7 @@
 {
     double least = 1;
     for (const auto& [name, service] : m_services) {
-        for (const auto& [priority, fraction] : service.fractions)
+        for (const auto& [rank, fraction] : service.fractions)
             least = std::min(least, fraction);
     }
     return least;
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -72,11 +72,12 @@
             for (const auto& [region, perSecond] : mix.restrictedPerSecond)
                 restricted[region] = static_cast<float>(perSecond);
             auto& parts = out[service] = Json::array({ std::move(restricted) });
-            if (mix.slotsByPriority.empty())
+            if (mix.slotsByRank.empty())
                 continue;
             auto& slots = parts.emplace_back(Json::array());
-            for (const auto& [priority, busy] : mix.slotsByPriority) {
-                slots.push_back(priority);
+            for (const auto& [rank, busy] : mix.slotsByRank) {
+                slots.push_back(rank.priority);
+                slots.push_back(rank.routePriority);
                 slots.push_back(static_cast<float>(busy));
             }
         }
@@ -93,8 +94,9 @@
             if (parts.size() < 2)
                 continue; // the sender does not share room
             const auto& slots = parts.at(1);
-            for (std::size_t i = 0; i + 1 < slots.size(); i += 2)
-                mix.slotsByPriority[slots.at(i).get<std::uint32_t>()] = slots.at(i + 1).get<double>();
+            for (std::size_t i = 0; i + 2 < slots.size(); i += 3)
+                mix.slotsByRank[{ slots.at(i).get<std::uint32_t>(), slots.at(i + 1).get<std::uint32_t>() }]
+                    = slots.at(i + 2).get<double>();
         }
         return out;
     }
