--- a/include/arbutuscrank/entry/fleet_messages.hpp
+++ b/include/arbutuscrank/entry/fleet_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <arbutuscrank/core/types.hpp>
+#include <arbutuscrank/entry/request_rank.hpp>
 
 #include <cstdint>
 #include <map>
@@ -33,9 +34,10 @@
 struct ServiceMix {
     /// Requests per second that their route or account restricts to a single region, by that region
     std::map<std::string, double, std::less<>> restrictedPerSecond;
-    /// Work that callers ask for, refused requests included, by priority: requests per second times the seconds that
-    /// a target usually works on one, which is the number of slots that they keep busy
-    std::map<std::uint32_t, double> slotsByPriority;
+    /// Work that callers ask for, refused requests included: requests per second times the seconds that
+    /// a target usually works on one, which is the number of slots that they keep busy.
+    /// Empty unless the reporting VM shares room.
+    std::map<RequestRank, double> slotsByRank;
     /// Requests per second that the callers' region and at least one other may serve, by \ref slackClass
     std::map<std::uint32_t, double> movableByClass;
 
--- a/include/arbutuscrank/entry/state.hpp
+++ b/include/arbutuscrank/entry/state.hpp
@@ -43,7 +43,7 @@
     std::vector<std::string> accountRegions;
     bool idempotent = false;
     bool mayHaveRun = false; ///< a target may have run the request without a successful answer
-    std::uint32_t priority = 0;
+    RequestRank rank;
     std::uint32_t maxAttempts = 1;
     /// Attempts that count towards \ref maxAttempts: those that are in flight or of which a target may have received
     /// bytes
@@ -70,7 +70,7 @@
     std::uint32_t admittedSinceUpdate = 0; ///< requests admitted since the last update of \ref perSecond
     ServiceMix mix; ///< smoothed
     std::map<std::string, double, std::less<>> restrictedSinceUpdate; ///< requests by region, as in \ref ServiceMix
-    std::map<std::uint32_t, double> workSinceUpdate; ///< seconds of work by priority
+    std::map<RequestRank, double> workSinceUpdate; ///< seconds of work
     std::map<std::uint32_t, double> movableSinceUpdate; ///< requests by slack class, as in \ref ServiceMix
 };
 
@@ -99,7 +99,7 @@
     TargetSelection selection;
     QuotaSharing quota;
     RetryLimit retryLimit;
-    RoomSharing room;
+    std::optional<RoomSharing> room; ///< only with \ref EntrySettings::sharesRoom
     MemberTable members;
     bool hasMemberList = false; ///< the list of registered VMs has been read
     Coordination coordination;
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -95,12 +95,18 @@
         return {
             .service = request.service,
             .route = request.route,
-            .priority = request.priority,
+            .rank = request.rank,
             .objectiveLeft = hasObjective ? request.arrivedAt + request.latencyObjective - now : timeLeft,
             .timeLeft = timeLeft,
         };
     }
 
+    /// Load per slot up to which a request may wait at a target.
+    double maxLoad(const EntryState& state, const RoomAsk& ask)
+    {
+        return state.room ? state.room->maxLoad(ask) : defaultMaxLoad(ask.rank.priority);
+    }
+
     TargetChoice chooseTarget(EntryState& state, const Request& request, double maxLoad, TimePoint now)
     {
         const Placement placement {
@@ -116,12 +122,19 @@
         return state.selection.choose(state.targets, placement, now);
     }
 
+    /// Load per slot of a target with one more request; 1 if all targets are full.
+    double loadWithRequest(const Target* target, TimePoint now)
+    {
+        return target ? (target->load(now) + 1) / std::max(1U, target->record.slots) : 1;
+    }
+
     /// Counts a request in the demand for its service.
     void countDemand(EntryState& state, const Request& request)
     {
         auto& demand = state.serviceDemand[request.service];
         ++demand.admittedSinceUpdate;
-        demand.workSinceUpdate[request.priority] += state.room.meanWork(request.route);
+        if (state.room)
+            demand.workSinceUpdate[request.rank] += state.room->meanWork(request.route);
         const auto regions = permittedRegions(request);
         if (regions.size() == 1)
             ++demand.restrictedSinceUpdate[regions.front()];
@@ -161,7 +174,7 @@
                 "request={} attempt={} route={} affinity={} target={} service={} number={} priority={} load={:.1f}/{} "
                 "cold={} trial={}",
                 request.callerRequestId, attempt, request.route, affinityKey(request), target.record.id,
-                request.service, request.countedAttempts, request.priority, target.load(now), target.record.slots,
+                request.service, request.countedAttempts, request.rank.priority, target.load(now), target.record.slots,
                 target.isCold(now), choice.isTrial) });
         const auto typical = typicalDuration(state, request);
         if (request.idempotent && typical > Duration::zero()) {
@@ -183,11 +196,12 @@
     {
         if (request.countedAttempts >= request.maxAttempts || !hasTimeForRetry(state, request, now))
             return false;
-        const auto ask = roomAsk(request, now);
+        auto ask = roomAsk(request, now);
+        const auto choice = chooseTarget(state, request, maxLoad(state, ask), now);
+        ask.loadPerSlot = loadWithRequest(choice.target, now);
         // A request that may have run fails without a retry, which is worse than a late answer.
-        if (!request.mayHaveRun && !state.room.permitsFurtherAttempt(ask))
+        if (state.room && !request.mayHaveRun && !state.room->permitsFurtherAttempt(ask))
             return false;
-        const auto choice = chooseTarget(state, request, state.room.maxLoad(ask), now);
         if (!choice.target || !state.retryLimit.tryTakeRetry(request.service, now))
             return false;
         send(state, id, request, choice, now, out);
@@ -342,16 +356,19 @@
     {
         countDemand(state, request);
         state.retryLimit.countRequest(request.service, now);
-        const auto decision = state.room.decide(roomAsk(request, now), state.random);
+        auto ask = roomAsk(request, now);
+        const auto choice = chooseTarget(state, request, maxLoad(state, ask), now);
+        ask.loadPerSlot = loadWithRequest(choice.target, now);
+        const auto decision = state.room ? state.room->decide(ask, state.random) : Admit {};
         if (const auto* rejected = std::get_if<RejectForRoom>(&decision)) {
             admission::returnToken(state, request, out);
             answerLocally(state, id, request, 503, "room-shared", rejected->retryAfter,
-                fmt::format("priority={} cause={} retry_after_ms={}", request.priority, rejected->cause,
-                    rejected->retryAfter / milliseconds(1)),
+                fmt::format("priority={} route_priority={} cause={} retry_after_ms={} load_per_slot={:.2f}",
+                    request.rank.priority, request.rank.routePriority, rejected->cause,
+                    rejected->retryAfter / milliseconds(1), ask.loadPerSlot),
                 now, out);
             return;
         }
-        const auto choice = chooseTarget(state, request, std::get<Admit>(decision).maxLoad, now);
         if (choice.target)
             send(state, id, request, choice, now, out);
         else
@@ -436,7 +453,8 @@
     }
     if (event.kind == Complete) {
         recordDuration(state, request, durationSeconds);
-        state.room.recordAttempt(request.route, now - attempt.sentAt, attempt.loadPerSlot, now);
+        if (state.room)
+            state.room->recordAttempt(request.route, now - attempt.sentAt, attempt.loadPerSlot, now);
         out.push_back(DeliverAnswer { event.request, event.attempt, request.account, request.service });
         attempts::finish(state, event.request, now, out);
         return;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -507,8 +507,8 @@
     addMetric("gauge", "targets_limited", std::ranges::count_if(m_state.targets.all(), [&](const auto& item) {
         return item.second.rateLimit(now).has_value();
     }));
-    addMetric("gauge", "services_sharing_room", m_state.room.sharedServiceCount());
-    addMetric("gauge", "room_least_fraction", m_state.room.leastFraction());
+    addMetric("gauge", "services_sharing_room", m_state.room ? m_state.room->sharedServiceCount() : 0);
+    addMetric("gauge", "room_least_fraction", m_state.room ? m_state.room->leastFraction() : 1);
     text += "# TYPE arbutuscrank_local_fraction gauge\n";
     for (const auto& [service, split] : m_state.selection.splits()) {
         for (const auto& [slack, fractions] : split.fractionsByClass) {
--- a/src/node/message_codec.cpp
+++ b/src/node/message_codec.cpp
@@ -12,7 +12,7 @@
     using std::chrono::milliseconds;
 
     /// Raised with each change of a message that processes of an earlier version cannot decode.
-    constexpr int protocolVersion = 5;
+    constexpr int protocolVersion = 6;
 
     /// First element of a message. Numbers are never reused.
     enum class MessageKind : std::uint8_t {
@@ -72,8 +72,9 @@
             for (const auto& [region, perSecond] : mix.restrictedPerSecond)
                 restricted[region] = static_cast<float>(perSecond);
             auto slots = Json::array();
-            for (const auto& [priority, busy] : mix.slotsByPriority) {
-                slots.push_back(priority);
+            for (const auto& [rank, busy] : mix.slotsByRank) {
+                slots.push_back(rank.priority);
+                slots.push_back(rank.routePriority);
                 slots.push_back(static_cast<float>(busy));
             }
             auto movable = Json::array();
@@ -81,7 +82,12 @@
                 movable.push_back(slack);
                 movable.push_back(static_cast<float>(perSecond));
             }
-            out[service] = { std::move(restricted), std::move(slots), std::move(movable) };
+            // Empty parts at the end are omitted.
+            auto& parts = out[service] = Json::array({ std::move(restricted) });
+            if (!slots.empty() || !movable.empty())
+                parts.push_back(std::move(slots));
+            if (!movable.empty())
+                parts.push_back(std::move(movable));
         }
         return out;
     }
@@ -93,11 +99,14 @@
             auto& mix = out[service];
             for (const auto& [region, perSecond] : parts.at(0).items())
                 mix.restrictedPerSecond[region] = perSecond.get<double>();
+            if (parts.size() < 2)
+                continue; // the sender does not share room
             const auto& slots = parts.at(1);
-            for (std::size_t i = 0; i + 1 < slots.size(); i += 2)
-                mix.slotsByPriority[slots.at(i).get<std::uint32_t>()] = slots.at(i + 1).get<double>();
+            for (std::size_t i = 0; i + 2 < slots.size(); i += 3)
+                mix.slotsByRank[{ slots.at(i).get<std::uint32_t>(), slots.at(i + 1).get<std::uint32_t>() }]
+                    = slots.at(i + 2).get<double>();
             if (parts.size() < 3)
-                continue; // from a process of an earlier build
+                continue;
             const auto& movable = parts.at(2);
             for (std::size_t i = 0; i + 1 < movable.size(); i += 2)
                 mix.movableByClass[movable.at(i).get<std::uint32_t>()] = movable.at(i + 1).get<double>();
--- a/tests/node/message_codec_test.cpp
+++ b/tests/node/message_codec_test.cpp
@@ -31,7 +31,7 @@
         .acknowledgedReports = { { "south-a", { 9, 12 } } },
         .accounts = { { "acme", { 40, 2.5 } } },
         .demand = { { "cart", 8.0 } },
-        .mixes = { { "cart", { { { "north", 2.5 } }, { { 1, 0.5 } }, { { 15, 4.0 } } } } },
+        .mixes = { { "cart", { { { "north", 2.5 } }, { { { 1, 2 }, 0.5 } }, { { 15, 4.0 } } } } },
         .inFlight = { { 123456, 3 } } };
     const auto it = roundTrip(report);
     EXPECT_EQ(it.coordinator, report.coordinator);
@@ -47,6 +47,16 @@
     EXPECT_EQ(it.inFlight, report.inFlight);
 }
 
+// Guards against a field for work that the sender does not report because it shares no room.
+TEST(MessageCodec, OmitsTheWorkWhereNoneIsReported)
+{
+    const DomainReport report { .mixes = { { "cart", { .restrictedPerSecond = { { "north", 2.5 } } } } } };
+    const auto encoded = encodeMessage(report);
+    const auto json = nlohmann::json::from_cbor(encoded.begin(), encoded.end());
+    EXPECT_NE(json.dump().find(R"({"cart":[{"north":2.5}]})"), std::string::npos) << json.dump();
+    EXPECT_EQ(roundTrip(report).mixes, report.mixes);
+}
+
 // Guards against a digest whose domains lose their accounts on the way to another VM.
 TEST(MessageCodec, RoundTripsADigestWithTheAccountsOfDomains)
 {
@@ -88,11 +98,11 @@
     EXPECT_EQ(it.held, report.evacuations.held);
 }
 
-// Guards against reports that are lost while VMs of an earlier build, which do not report classes, are replaced.
+// Guards against reports that are lost because their sender omits the slack classes, as it does while it has none.
 TEST(MessageCodec, DecodesAMixWithoutSlackClasses)
 {
     VmReport report { .process = { "vm1", 7 } };
-    report.mixes["cart"] = { { { "north", 2.5 } }, { { 1, 0.5 } }, { { 15, 4.0 } } };
+    report.mixes["cart"] = { { { "north", 2.5 } }, { { { 1, 2 }, 0.5 } }, { { 15, 4.0 } } };
     auto json = nlohmann::json::from_cbor(encodeMessage(report));
     for (auto& part : json.at(1)) {
         if (part.is_object() && part.contains("cart") && part.at("cart").is_array())
@@ -103,7 +113,7 @@
     const auto decoded = decodeMessage(bytes);
     ASSERT_TRUE(decoded);
     const auto& mix = std::get<VmReport>(decoded.value()).mixes.at("cart");
-    EXPECT_EQ(mix.slotsByPriority, report.mixes.at("cart").slotsByPriority);
+    EXPECT_EQ(mix.slotsByRank, report.mixes.at("cart").slotsByRank);
     EXPECT_TRUE(mix.movableByClass.empty());
 }
 
