--- a/include/arbutuscrank/entry/room_sharing.hpp
+++ b/include/arbutuscrank/entry/room_sharing.hpp
@@ -74,7 +74,7 @@
 ///
 /// \code
 /// sharing.update("cart", slots, work, elapsedSeconds);
-/// const auto decision = sharing.decide({ .service = "cart", .route = "read", .rank = 1 }, random);
+/// const auto decision = sharing.decide({ .service = "cart", .route = "read", .rank = { 1, 2 } }, random);
 /// if (const auto* rejected = std::get_if<RejectForRoom>(&decision))
 ///     refuse(rejected->retryAfter);
 /// \endcode
--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -89,7 +89,7 @@
             moveTowards(fractions, desired, std::min(1.0, step / distance));
     }
 
-    double sumOf(const std::map<std::uint32_t, double>& values)
+    template <typename Key> double sumOf(const std::map<Key, double>& values)
     {
         return std::accumulate(
             values.begin(), values.end(), 0.0, [](double sum, const auto& item) { return sum + item.second; });
@@ -134,12 +134,6 @@
             moveTowards(split.fractionsByClass[slack], fractions, std::min(1.0, step / distance));
     }
 
-    double sumOf(const std::map<std::string, double>& values)
-    {
-        return std::accumulate(
-            values.begin(), values.end(), 0.0, [](double sum, const auto& item) { return sum + item.second; });
-    }
-
     double valueOf(const std::map<std::string, double>& values, const std::string& region)
     {
         const auto it = values.find(region);
