Say separately which waiting lists and watches of the feed are due

Read-through: one nested condition served both, and the comment on lists stood behind the one on the policy's watches. The condition is now a function with a reason at each part.

--- a/src/entry/target_selection.cpp
+++ b/src/entry/target_selection.cpp
@@ -41,6 +41,7 @@
     constexpr std::uint32_t greatestSlackClass = 255;
     /// Hash seed that decides whether an affinity value stays in its region.
     constexpr std::uint64_t localityHashSeed = 2;
+
     bool isListed(const std::vector<std::string>* list, const std::string& name)
     {
         return list && std::ranges::find(*list, name) != list->end();
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -424,14 +424,16 @@
 
 void SharedStore::answerWaiters(Collection collection)
 {
+    const auto isDue = [&](const Waiter& it) {
+        // The first read of the collection or of the policy may be the last one that a list waits for.
+        if (it.isList)
+            return canServe(it.collection);
+        // Readers get each confirmation of the policy, because they serve requests with keys only while it is fresh.
+        return it.collection == collection && (collection == Collection::Policy || hasChanges(it));
+    };
     std::vector<WaiterId> dueWaiters;
     for (const auto& [id, waiter] : m_waiters) {
-        // Readers get each confirmation of the policy, because they serve requests with keys only while it is fresh.
-        // Lists wait for it too.
-        if (waiter.isList) {
-            if (canServe(waiter.collection))
-                dueWaiters.push_back(id);
-        } else if (waiter.collection == collection && (collection == Collection::Policy || hasChanges(waiter)))
+        if (isDue(waiter))
             dueWaiters.push_back(id);
     }
     for (const auto id : dueWaiters)
