--- a/review/standins-2.hpp
+++ b/review/standins-2.hpp
@@ -344,6 +344,21 @@
         }
         m_server.dropConnections();
     }
+    /// \brief Answers take this much longer.
+    void setDelay(double seconds) { m_delaySeconds = seconds; }
+    /// \brief While the store is silent, it does nothing and no call is ever answered.
+    void setSilent(bool isSilent)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isSilent = isSilent;
+        m_changed.notify_all();
+    }
+    /// \brief Number of answered lists of the objects of a kind, not counting watches.
+    [[nodiscard]] int answeredLists(const std::string& kind)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_answeredLists[kind];
+    }
     void comeBackFromCopy()
     {
         const std::lock_guard lock(m_mutex);
@@ -394,6 +409,7 @@
     void serve(const std::shared_ptr<Connection>& connection)
     {
         while (const auto request = connection->read()) {
+            sleepFor(m_delaySeconds);
             const auto answer = handle(*request);
             if (!answer || !connection->send(*answer))
                 break;
@@ -401,6 +417,12 @@
         connection->shutDown();
     }
 
+    /// Leaves a call that reached the silent store without an answer, on a connection that stays open.
+    void waitForEnd(std::unique_lock<std::mutex>& lock)
+    {
+        m_changed.wait(lock, [&] { return m_isStopping; });
+    }
+
     static std::string decodeUrl(std::string_view text)
     {
         std::string out;
@@ -419,10 +441,14 @@
     std::optional<std::string> handle(const Message& request)
     {
         std::unique_lock lock(m_mutex);
+        if (m_isSilent)
+            waitForEnd(lock);
         if (m_isAway || m_isStopping)
             return std::nullopt;
         const auto [status, body] = execute(request, lock);
-        if (status == 0 || m_isAway)
+        if (m_isSilent)
+            waitForEnd(lock);
+        if (status == 0 || m_isAway || m_isStopping)
             return std::nullopt;
         return makeAnswer(
             status, body.dump(), "Content-Type: application/json\r\nStore-Era: " + std::to_string(m_era) + "\r\n");
@@ -489,6 +515,7 @@
                 break;
             items.push_back(object);
         }
+        ++m_answeredLists[kind];
         return { { "items", std::move(items) }, { "hasMore", hasMore }, { "at", m_revision } };
     }
 
@@ -500,7 +527,7 @@
         const auto era = m_era;
         auto events = Json::array();
         const auto isDue = [&] {
-            if (m_isStopping || m_isAway || m_era != era)
+            if (m_isStopping || m_isAway || m_isSilent || m_era != era)
                 return true;
             for (const auto& it : m_events) {
                 if (it.revision > since && it.kind == kind)
@@ -523,7 +550,10 @@
     std::uint64_t m_oldestRevision = 100; ///< changes after it are known
     std::uint64_t m_era = 1;
     std::pair<Objects, std::uint64_t> m_copy;
+    std::map<std::string, int> m_answeredLists; ///< by kind
+    std::atomic<double> m_delaySeconds = 0;
     bool m_isAway = false;
+    bool m_isSilent = false;
     bool m_isStopping = false;
     Server m_server; ///< declared last, because its threads use the other members
 };
@@ -781,7 +811,8 @@
 }
 
 /// \brief A configuration with a route of each kind and one tenant that holds \p keys.
-inline Json makeConfiguration(std::uint64_t version, const std::vector<std::string>& keys)
+inline Json makeConfiguration(
+    std::uint64_t version, const std::vector<std::string>& keys, int ratePerSecond = 1000, int burst = 1000)
 {
     return { { "version", version },
         { "routes",
@@ -794,8 +825,8 @@
             { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 67108864 }, { "headerTimeoutS", 3 },
                 { "idleTimeoutS", 15 } } },
         { "tenants",
-            { { { "name", "tenant-1" }, { "apiKeys", keys }, { "priority", 1 }, { "ratePerS", 1000 }, { "burst", 1000 },
-                { "allowedRegions", Json::array() } } } } };
+            { { { "name", "tenant-1" }, { "apiKeys", keys }, { "priority", 1 }, { "ratePerS", ratePerSecond },
+                { "burst", burst }, { "allowedRegions", Json::array() } } } } };
 }
 
 /// \brief Headers that each request of a client has.
