--- a/review/standins-2.hpp
+++ b/review/standins-2.hpp
@@ -164,6 +164,24 @@
 
     /// \brief Reads one message. \returns nothing at the end of the connection, or after \p seconds
     std::optional<Message> read(double seconds = 3600)
+    {
+        const auto end
+            = Clock::now() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+        auto out = readHead(seconds);
+        if (!out)
+            return out;
+        const auto n = static_cast<std::size_t>(std::atoll(out->header("content-length").c_str()));
+        while (m_buffer.size() < n) {
+            if (!fill(end))
+                return std::nullopt;
+        }
+        out->body = m_buffer.substr(0, n);
+        m_buffer.erase(0, n);
+        return out;
+    }
+
+    /// \brief Reads the head of a message.
+    std::optional<Message> readHead(double seconds)
     {
         const auto end
             = Clock::now() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
@@ -188,18 +206,22 @@
             if (colon != std::string::npos)
                 out.headers[lowerCase(line.substr(0, colon))] = value == std::string::npos ? "" : line.substr(value);
         }
-        if (const auto length = out.header("content-length"); !length.empty()) {
-            const auto n = static_cast<std::size_t>(std::atoll(length.c_str()));
-            while (m_buffer.size() < n) {
-                if (!fill(end))
-                    return std::nullopt;
-            }
-            out.body = m_buffer.substr(0, n);
-            m_buffer.erase(0, n);
-        }
         return out;
     }
 
+    /// \brief Reads and drops bytes that have arrived, \p most at most. Waits for them for \p seconds.
+    /// \returns the number of bytes; 0 at the end of the connection, or if none arrived
+    std::size_t skip(std::size_t most, double seconds)
+    {
+        const auto end
+            = Clock::now() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+        if (m_buffer.empty() && !fill(end))
+            return 0;
+        const auto n = std::min(most, m_buffer.size());
+        m_buffer.erase(0, n);
+        return n;
+    }
+
     void shutDown() const { ::shutdown(m_fd, SHUT_RDWR); }
     [[nodiscard]] bool isAtEnd() const noexcept { return m_isAtEnd; }
 
@@ -569,6 +591,9 @@
     std::string upstream;
 };
 
+/// \brief Size of the answers to downloads, the site files' largest.
+constexpr std::size_t largeAnswerBytes = 540'000;
+
 /// \brief Stand-in of an upstream. It runs each request for some time and answers it.
 class Upstream {
 public:
@@ -614,7 +639,8 @@
             m_record.line("ran id=" + run.attemptId + " by=" + m_id + " request=\"" + run.method + ' ' + run.target
                 + "\" body_bytes=" + std::to_string(run.body.size()) + " tenant=" + run.tenant);
             sleepFor(0.02);
-            const auto body = "answer to " + attemptId + '\n';
+            const bool isLarge = run.target.starts_with("/download/");
+            const auto body = isLarge ? std::string(largeAnswerBytes, 'x') : "answer to " + attemptId + '\n';
             if (!connection->send(makeAnswer(
                     200, body, echo + "Response-Signature: " + m_id + '.' + attemptId + "\r\nServer-Load: 0,0,6\r\n")))
                 break;
@@ -661,9 +687,19 @@
 
 private:
     static bool isPortFree(std::uint16_t port)
+    {
+        std::vector<std::string> ips { "127.0.0.2" };
+        for (int i = 11; i <= 16; ++i)
+            ips.push_back("127.0.0." + std::to_string(i));
+        for (int i = 1; i <= 60; ++i)
+            ips.push_back("127.0.1." + std::to_string(i));
+        return std::ranges::all_of(ips, [&](const auto& ip) { return canBind({ ip, port }); });
+    }
+
+    static bool canBind(const Address& address)
     {
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const auto native = Address { "0.0.0.0", port }.native();
+        const auto native = address.native();
         const int on = 1;
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         const bool isFree = bind(fd, reinterpret_cast<const sockaddr*>(&native), sizeof native) == 0;
