--- /dev/null
+++ b/tests/adapter/odd_names_failure_test.cpp
@@ -0,0 +1,137 @@
+#include "adapter/paged_store.hpp"
+#include "decoder.hpp"
+#include "store.hpp"
+
+#include "node/collection_reader.hpp"
+#include "node/shared_store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <set>
+
+/// \file
+/// \brief Entries of another writer in the store, under names with characters that mean something in a URL.
+
+namespace arbutuscrank::platform {
+
+namespace {
+
+    using node::Collection;
+    using std::chrono::milliseconds;
+    using Names = std::set<std::string>;
+
+    constexpr std::size_t pageSize = 3;
+
+    const std::string targetSpec
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"zone-a","state":"ready","slots":6})";
+    const std::string oddSpec = R"({"service":5,"state":"parked"})";
+
+    const Names targets { "t-00", "t-01", "t-02", "t-03", "t-04", "t-05", "t-06", "t-07" };
+
+    /// Names that stand between "t-01" and "t-02".
+    const std::vector<std::string> oddNames { "t-01&after=zz", "t-01&", "t-01+1", "t-01#x", "t-01%", "t-01%41",
+        "t-01 (copy)", "t-01?x", "t-01/x", "t-01=", "t-01;x", "t-01\"'<>\\", "t-01\t\r\nX: y", "t-01\x7f",
+        "t-01\xc3\xa4\xe2\x82\xac" };
+
+    Decoder makeDecoder() { return Decoder(std::map<std::string, std::string> { { "zone-a", "region-a" } }); }
+
+    /// The store with all targets, and a VM's reader of them, over HTTP.
+    struct TargetReading {
+        explicit TargetReading(std::size_t objectsPerPage = pageSize)
+            : server(context, objectsPerPage)
+        {
+            for (const auto& name : targets)
+                server.put("servers", name, targetSpec);
+        }
+
+        /// Reads the list of targets. \returns the names of the usable ones; empty if the list fails again and again
+        Names read()
+        {
+            const auto reader = std::make_shared<node::CollectionReader>(context, store, Collection::Targets,
+                node::CollectionReader::WatchTiming {
+                    std::chrono::seconds(5), milliseconds(1), std::chrono::seconds(5) },
+                node::CollectionReader::Handlers { .onListed = [&](auto objects) { listed = std::move(objects); },
+                    .onChanged = [](const node::StoreChange&) {},
+                    .onConfirmed = [](TimePoint) {},
+                    .onFailed = [&](const Error& error) { failures.push_back(describe(error)); } });
+            reader->start();
+            constexpr std::size_t maxFailures = 3;
+            constexpr std::size_t maxPages = 100;
+            node::test::runUntil(
+                context, [&] { return listed || failures.size() == maxFailures || server.lists > maxPages; });
+            reader->stop();
+            const Decoder decoder = makeDecoder();
+            Names out;
+            for (const auto& object : listed.value_or(std::vector<node::StoreObject>())) {
+                if (decoder.decodeTarget(object))
+                    out.insert(object.name);
+            }
+            return out;
+        }
+
+        /// Reads the targets from the feed of the VM, as another VM. \returns the names of all entries; empty if the
+        /// feed refuses the read
+        Names readFromFeed()
+        {
+            server.put("config", "main", "{}");
+            const auto address = node::test::freeAddress();
+            EXPECT_TRUE(store->open(address));
+            const auto otherStore = std::make_shared<node::SharedStore>(context, client);
+            otherStore->setSource(address);
+            // The feed is served once the VM has read the configuration too.
+            std::optional<Result<node::StoreListing>> policy;
+            store->list(Collection::Policy, {}, [&](auto result) { policy = std::move(result); });
+            node::test::runUntil(context, [&] { return policy.has_value(); });
+            std::optional<Result<node::StoreListing>> answer;
+            otherStore->list(Collection::Targets, {}, [&](auto result) { answer = std::move(result); });
+            node::test::runUntil(context, [&] { return answer.has_value(); });
+            Names out;
+            if (answer && *answer) {
+                for (const auto& object : answer->value().objects)
+                    out.insert(object.name);
+            }
+            return out;
+        }
+
+        node::asio::io_context context;
+        test::PagedStore server;
+        std::shared_ptr<MetadataStore> client
+            = std::make_shared<MetadataStore>(context, server.endpoint(), server.address());
+        std::shared_ptr<node::SharedStore> store = std::make_shared<node::SharedStore>(context, client);
+        std::optional<std::vector<node::StoreObject>> listed;
+        std::vector<std::string> failures;
+    };
+
+} // namespace
+
+// RECOVER. Guards against VMs that start and never get ready, or without a part of the targets, because the list is
+// continued after a name that is no valid part of a query, or that means another name there: the same page may then
+// come again for ever.
+TEST(OddNameFailure, AListGoesOnAfterAnyName)
+{
+    for (const std::size_t objectsPerPage : { std::size_t { 1 }, pageSize }) {
+        for (const auto& name : oddNames) {
+            TargetReading reading(objectsPerPage);
+            reading.server.put("servers", name, oddSpec);
+            EXPECT_EQ(reading.read(), targets) << name;
+            EXPECT_EQ(reading.server.lists, (targets.size() + 1) / objectsPerPage) << name;
+            EXPECT_EQ(reading.server.refusedLines, std::vector<std::string> {}) << name;
+            EXPECT_EQ(reading.failures, std::vector<std::string> {}) << name;
+        }
+    }
+}
+
+// Guards against a VM that learns other names from the feed of another VM than that one has read.
+TEST(OddNameFailure, TheFeedKeepsNames)
+{
+    TargetReading reading;
+    for (const auto& name : oddNames)
+        reading.server.put("servers", name, oddSpec);
+    ASSERT_EQ(reading.read(), targets);
+    Names expected = targets;
+    expected.insert(oddNames.begin(), oddNames.end());
+    EXPECT_EQ(reading.readFromFeed(), expected);
+}
+
+} // namespace arbutuscrank::platform
