--- a/tests/adapter/odd_names_failure_test.cpp
+++ b/tests/adapter/odd_names_failure_test.cpp
@@ -1,6 +1,7 @@
 #include "adapter/paged_store.hpp"
 #include "decoder.hpp"
 #include "store.hpp"
+#include "wire_names.hpp"
 
 #include "node/collection_reader.hpp"
 #include "node/shared_store.hpp"
@@ -103,6 +104,12 @@
         std::vector<std::string> failures;
     };
 
+    /// Waits for the answer to a write or a removal.
+    bool succeeds(node::asio::io_context& context, const std::optional<Result<ObjectVersion>>& answer)
+    {
+        return node::test::runUntil(context, [&] { return answer.has_value(); }) && answer->has_value();
+    }
+
 } // namespace
 
 // RECOVER. Guards against VMs that start and never get ready, or without a part of the targets, because the list is
@@ -122,6 +129,31 @@
     }
 }
 
+// Guards against records of the system that stay in the store for ever, because the path of their removal cannot be
+// read, and against a removal or a write that reaches another object than the named one.
+TEST(OddNameFailure, WritesAndRemovalsReachTheNamedObject)
+{
+    constexpr auto collection = Collection::Members;
+    const std::string kind(objectKind(collection));
+    for (const auto& name : oddNames) {
+        TargetReading reading;
+        auto& server = reading.server;
+        server.put(kind, "t-01", "{}");
+        server.put(kind, name, "{}");
+        std::optional<Result<ObjectVersion>> written;
+        const auto revision = server.revision();
+        reading.client->write(
+            collection, { name, revision, R"({"x":1})" }, [&](auto result) { written = std::move(result); });
+        EXPECT_TRUE(succeeds(reading.context, written)) << name;
+        EXPECT_EQ(server.objects.at({ kind, name }).spec, R"({"x":1})") << name;
+        std::optional<Result<ObjectVersion>> removed;
+        reading.client->remove(collection, name, server.revision(), [&](auto result) { removed = std::move(result); });
+        EXPECT_TRUE(succeeds(reading.context, removed)) << name;
+        EXPECT_EQ(server.removed, (std::vector<test::PagedStore::Key> { { kind, name } })) << name;
+        EXPECT_EQ(server.objects.count({ kind, "t-01" }), 1U) << name;
+    }
+}
+
 // Guards against a VM that learns other names from the feed of another VM than that one has read.
 TEST(OddNameFailure, TheFeedKeepsNames)
 {
