End or advance every list of the store

A page none of whose names can be read was continued after the text "(unreadable)", which begins the list anew; a store that repeats a page was asked for ever; both added to the same list, so that the process grew. A name that makes the request line too long was refused again and again.

Cause: the reader and the feed's cache took the last name of a page as the position of the next one, whatever it was and however often it had come.

Evidence: four tests of OddNameFailure failed before this change. Until the test stopped them, readers asked for 242 pages (unreadable names) and 186 (a repeated page), where two suffice; the long name got 414 at each try.

Change: a page names its continuation, which is the last name that can be read and whose encoded form leaves room in a request line of 8 KiB. ListProgress holds the names after which a list was continued and ends one that would be continued after the same name again. The reader and the feed's cache use it alike, so that the feed serves such a list too. What was read is in force; event 908 says where the list was cut. An object without a readable name has an empty name from now on.

Why it works: each page of a list begins after another name, and a store has finitely many.

--- a/include/arbutuscrank/core/log_events.hpp
+++ b/include/arbutuscrank/core/log_events.hpp
@@ -88,6 +88,7 @@
     StoreSourceChanged = 905,
     StoreWatchRepeated = 906,
     StoreEraRisen = 907,
+    StoreListCut = 908,
 };
 
 /// \brief Name of a log event, as in docs/log-events.md.
--- a/src/core/log_events.cpp
+++ b/src/core/log_events.cpp
@@ -143,6 +143,8 @@
         return "store-watch-repeated";
     case LogEvent::StoreEraRisen:
         return "store-era-risen";
+    case LogEvent::StoreListCut:
+        return "store-list-cut";
     }
     return "unknown";
 }
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -105,8 +105,10 @@
 void CollectionReader::list(const std::string& after)
 {
     const auto sentAt = currentTime();
+    if (after.empty())
+        m_listProgress.restart();
     m_store->list(m_collection, after,
-        [self = shared_from_this(), generation = m_generation, sentAt](Result<StoreListing> result) {
+        [self = shared_from_this(), generation = m_generation, sentAt, after](Result<StoreListing> result) {
             if (generation != self->m_generation)
                 return;
             if (!result) {
@@ -114,16 +116,17 @@
                 return;
             }
             auto& page = result.value();
-            const bool hasMore = page.hasMore && !page.objects.empty();
-            const auto last = hasMore ? page.objects.back().name : std::string();
+            const auto next = self->m_listProgress.advance(page);
             // The watch starts at the first page's revision, so that it reports changes made between two pages.
             if (self->m_listedObjects.empty())
                 self->m_revision = page.revision;
             std::ranges::move(page.objects, std::back_inserter(self->m_listedObjects));
-            if (hasMore) {
-                self->list(last);
+            if (!next.empty()) {
+                self->list(next);
                 return;
             }
+            if (page.hasMore && self->m_handlers.onListCut)
+                self->m_handlers.onListCut(after);
             if (!self->recordListing()) {
                 self->handleFailure({ ErrorCode::Unavailable, "store.list", std::string(toString(self->m_collection)),
                     "revision " + std::to_string(self->m_revision) + " is older than "
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/list_progress.hpp"
 #include "node/network.hpp"
 #include "node/object_store.hpp"
 
@@ -32,6 +33,8 @@
         std::function<void(const StoreChange&)> onChanged; ///< gets one change
         std::function<void(TimePoint confirmedAt)> onConfirmed; ///< gets the time as of which a read is confirmed
         std::function<void(const Error&)> onFailed; ///< a call failed; the reader retries by itself
+        /// Called before \ref onListed if the list does not advance, so that it lacks what follows \p after. Optional.
+        std::function<void(std::string_view after)> onListCut;
     };
 
     /// \brief Timing of the watches of a collection.
@@ -94,6 +97,7 @@
     WatchTiming m_timing;
     Handlers m_handlers;
     std::vector<StoreObject> m_listedObjects;
+    ListProgress m_listProgress;
     std::uint64_t m_revision = 0;
     std::uint64_t m_completeRevision = 0; ///< revision of the newest complete read; 0 before the first list
     std::set<std::string> m_names; ///< of the objects that the collection holds
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -86,6 +86,10 @@
                     replaceSilentWatches();
             },
         .onFailed = [this, collection](const Error& error) { handleReadFailure(collection, error); },
+        .onListCut =
+            [this, collection](std::string_view after) {
+                log(LogEvent::StoreListCut, fmt::format("collection={} after=\"{}\"", toString(collection), after));
+            },
     };
 }
 
--- a/src/node/feed_cache.cpp
+++ b/src/node/feed_cache.cpp
@@ -16,11 +16,12 @@
 {
     if (isFirst) {
         m_partialListing.clear();
+        m_listProgress.restart();
         m_partialListingRevision = page.revision;
     }
     for (const auto& object : page.objects)
         m_partialListing[object.name] = object;
-    if (page.hasMore && !page.objects.empty())
+    if (!m_listProgress.advance(page).empty())
         return;
     const auto listedObjects = std::exchange(m_partialListing, {});
     if (!m_isLoaded)
--- a/src/node/feed_cache.hpp
+++ b/src/node/feed_cache.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/list_progress.hpp"
 #include "node/object_store.hpp"
 
 #include <deque>
@@ -46,6 +47,7 @@
     std::deque<Removal> m_removals; ///< the most recent ones, oldest first
     std::map<std::string, StoreObject> m_partialListing; ///< objects of a list whose last page is missing
     std::uint64_t m_partialListingRevision = 0;
+    ListProgress m_listProgress;
     std::uint64_t m_revision = 0;
     std::uint64_t m_removalsKeptSince = 0; ///< removals after this revision are all kept
     bool m_isLoaded = false;
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -22,7 +22,7 @@
 
 /// \brief One object of a collection.
 struct StoreObject {
-    std::string name;
+    std::string name; ///< empty if it cannot be read
     ObjectVersion revision = 0;
     std::string body; ///< JSON text
 };
@@ -31,7 +31,8 @@
 struct StoreListing {
     std::vector<StoreObject> objects;
     std::uint64_t revision = 0; ///< store revision as of the read
-    bool hasMore = false; ///< whether another page begins after the last name
+    bool hasMore = false; ///< whether the collection has further objects
+    std::string continuation; ///< name after which the next page begins; empty if none of the page can be sent
     /// Time as of which the store has confirmed the policy, if another VM read the page. It says nothing about the age
     /// of other collections. Without it, the page is confirmed as of the time at which the call was sent.
     std::optional<TimePoint> confirmedAt;
--- a/src/telemetry/log_levels.cpp
+++ b/src/telemetry/log_levels.cpp
@@ -40,6 +40,7 @@
     case LogEvent::AnswerCutShort:
     case LogEvent::StoreFailed:
     case LogEvent::StoreCallFailed:
+    case LogEvent::StoreListCut:
     case LogEvent::PeerProtocolError:
         return spdlog::level::warn;
     default:
--- a/tests/adapter/odd_names_failure_test.cpp
+++ b/tests/adapter/odd_names_failure_test.cpp
@@ -154,6 +154,50 @@
     }
 }
 
+// RECOVER. Guards against a list that is begun anew for ever, because the store refuses to continue it after a name
+// that makes the request line too long.
+TEST(OddNameFailure, AListGoesOnAfterALongName)
+{
+    TargetReading reading;
+    reading.server.put("servers", "t-01" + std::string(test::PagedStore::maxRequestLineBytes, '-'), oddSpec);
+    EXPECT_EQ(reading.read(), targets);
+    EXPECT_EQ(reading.failures, std::vector<std::string> {});
+}
+
+// RECOVER. Guards against a list without an end, whose memory grows, because it cannot be continued after any name on a
+// page.
+TEST(OddNameFailure, AListEndsAtAPageAfterWhichItCannotBeContinued)
+{
+    const std::string longName(test::PagedStore::maxRequestLineBytes, '-');
+    const test::PagedStore::Object nameless { "7", oddSpec };
+    const test::PagedStore::Object overlong { R"({"name":"t-02)" + longName + "\"}", oddSpec };
+    for (const auto& odd : { nameless, overlong }) {
+        TargetReading reading;
+        for (const auto* key : { "t-02a", "t-02b", "t-02c" })
+            reading.server.objects[{ "servers", key }] = odd;
+        EXPECT_EQ(reading.read(), (Names { "t-00", "t-01", "t-02" })) << odd.metadata.substr(0, 20);
+        EXPECT_EQ(reading.server.lists, 2U);
+    }
+}
+
+// RECOVER. Guards against a list without an end, whose memory grows, because the store sends the same page again.
+TEST(OddNameFailure, AListEndsWhenItDoesNotAdvance)
+{
+    TargetReading reading;
+    reading.server.ignoresAfter = true;
+    EXPECT_EQ(reading.read(), (Names { "t-00", "t-01", "t-02" }));
+    EXPECT_EQ(reading.server.lists, 2U);
+}
+
+// Guards against VMs that read the store themselves, because the feed of a VM is never complete after such a list.
+TEST(OddNameFailure, TheFeedServesAListThatDoesNotAdvance)
+{
+    TargetReading reading;
+    reading.server.ignoresAfter = true;
+    ASSERT_EQ(reading.read(), (Names { "t-00", "t-01", "t-02" }));
+    EXPECT_EQ(reading.readFromFeed(), (Names { "t-00", "t-01", "t-02" }));
+}
+
 // Guards against a VM that learns other names from the feed of another VM than that one has read.
 TEST(OddNameFailure, TheFeedKeepsNames)
 {
