--- a/tests/adapter/odd_names_failure_test.cpp
+++ b/tests/adapter/odd_names_failure_test.cpp
@@ -210,4 +210,14 @@
     EXPECT_EQ(reading.readFromFeed(), expected);
 }
 
+// UNASKED. Guards against header fields, or a whole request, that the name of a target adds to the requests sent to it.
+TEST(OddNameFailure, ANameThatNoHeaderCanHoldNamesNoTarget)
+{
+    const Decoder decoder = makeDecoder();
+    for (const std::string name : { "", "t\r\nX-Other: 1", "t\n", "t\t", "t\x7f", " t", "t ", "\x01" })
+        EXPECT_FALSE(decoder.decodeTarget({ .name = name, .body = targetSpec })) << name;
+    for (const std::string name : { "t-01 (copy)", "t&+#%", "t\"", "t\xc3\xa4" })
+        EXPECT_TRUE(decoder.decodeTarget({ .name = name, .body = targetSpec })) << name;
+}
+
 } // namespace arbutuscrank::platform
