--- a/tests/adapter/odd_entries_failure_test.cpp
+++ b/tests/adapter/odd_entries_failure_test.cpp
@@ -106,11 +106,11 @@
             + routeFields + R"(}],"services":[{"name":"s"}]})";
     };
     const auto decoder = makeDecoder();
-    EXPECT_TRUE(decoder.decodePolicy({ .body = policy(R"("timeoutS":1.2,"maxAttempts":2)") }));
+    EXPECT_TRUE(decoder.decodePolicy({ .name = "main", .body = policy(R"("timeoutS":1.2,"maxAttempts":2)") }));
     for (const std::string fields : { R"("timeoutS":1e300)", R"("timeoutS":-1)", R"("timeoutS":1,"maxAttempts":-1)",
              R"("timeoutS":1,"maxAttempts":1e30)", R"("timeoutS":1,"priority":-1)" })
-        EXPECT_FALSE(decoder.decodePolicy({ .body = policy(fields) })) << fields;
-    EXPECT_FALSE(decoder.decodePolicy({ .body = nested(deepNesting) }));
+        EXPECT_FALSE(decoder.decodePolicy({ .name = "main", .body = policy(fields) })) << fields;
+    EXPECT_FALSE(decoder.decodePolicy({ .name = "main", .body = nested(deepNesting) }));
 }
 
 // Guards against a datagram with nested arrays that exhausts the stack of its receiver.
--- a/tests/adapter/odd_names_failure_test.cpp
+++ b/tests/adapter/odd_names_failure_test.cpp
@@ -220,4 +220,14 @@
         EXPECT_TRUE(decoder.decodeTarget({ .name = name, .body = targetSpec })) << name;
 }
 
+// CONFIG. Guards against another writer's entry beside the operators' configuration that takes its place.
+TEST(OddNameFailure, OnlyTheOperatorsEntryIsTheConfiguration)
+{
+    const Decoder decoder = makeDecoder();
+    const std::string body = R"({"version":9,"routes":[],"services":[]})";
+    EXPECT_TRUE(decoder.decodePolicy({ .name = "main", .body = body }));
+    for (const std::string name : { "", "main ", "main (copy)", "Main", "other" })
+        EXPECT_FALSE(decoder.decodePolicy({ .name = name, .body = body })) << name;
+}
+
 } // namespace arbutuscrank::platform
