Ignore evacuations of failure domains that do not exist

What callers saw: one entry of another writer among the evacuations stops the reports between VMs if its name is long. Reports and digests repeat all evacuations in one datagram each; a larger one is not sent, and VMs hear nothing of each other. The coordinator also wrote a record of each such name into the store, every 2 s while the store did not show it.

Cause: every name in the collection counted as a failure domain.

Evidence: EntryNodeFailure.AnEvacuationOfNoKnownFailureDomainIsIgnored failed before this change: no report reached the other VM within 10 s, and the record of "d&+#% " was written 5 times.

Why it works: only failure domains of the settings reach the reducer, and so the reports and the records. Nothing else changes for callers, because no target is in another failure domain. Other names are kept and logged (event 903); a reload of the settings that adds one of them puts it into force.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -329,6 +329,8 @@
     m_state.settings.bounds = settings.bounds;
     m_state.settings.regionOfFailureDomain = settings.regionOfFailureDomain;
     log(LogEvent::SettingsReloaded, fmt::format("failure_domains={}", settings.regionOfFailureDomain.size()));
+    if (m_readers.at(Collection::Evacuations)->revision() != 0)
+        dispatchEvacuations(); // one of them may name a failure domain that the settings did not name before
 }
 
 void EntryNode::logRejectedSettings(const Error& error) { log(LogEvent::SettingsRefused, describe(error)); }
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -79,6 +79,8 @@
     CollectionReader::Handlers readerHandlers(Collection collection);
     void applyListing(Collection collection, const std::vector<StoreObject>& objects);
     void applyChange(Collection collection, const StoreChange& change);
+    [[nodiscard]] bool isKnownFailureDomain(const std::string& name) const;
+    void addEvacuation(const std::string& failureDomain);
     void dispatchEvacuations();
     void applyEvacuationRecordChange(const std::string& failureDomain, const StoreChange& change);
     /// Removes an object of the collection of members from the store, if it is known.
@@ -149,7 +151,7 @@
     bool m_hasStartedReaders = false; ///< whether all readers run; at first, only the reader of members does
     std::map<std::string, ObjectVersion> m_memberRevisions; ///< of registrations and of evacuation records
     std::set<std::string> m_evacuationRecords; ///< failure domains with a record in the store
-    std::set<std::string> m_evacuations;
+    std::set<std::string> m_evacuations; ///< names of all entries, also those that name no failure domain
     std::set<std::string> m_undecodableTargets; ///< targets in the store that could not be decoded, logged once each
     std::deque<entry::EntryEvent> m_events; ///< queue of events that have not been reduced
     bool m_isDispatching = false;
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -5,6 +5,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
+
 /// \file
 /// \brief What an entry VM reads from the store and writes there.
 
@@ -190,7 +193,7 @@
     case Collection::Evacuations:
         m_evacuations.clear();
         for (const auto& object : objects)
-            m_evacuations.insert(object.name);
+            addEvacuation(object.name);
         dispatchEvacuations();
         return;
     case Collection::Members: {
@@ -241,7 +244,7 @@
         if (change.isDeleted)
             m_evacuations.erase(object.name);
         else
-            m_evacuations.insert(object.name);
+            addEvacuation(object.name);
         dispatchEvacuations();
         return;
     case Collection::Members:
@@ -265,10 +268,28 @@
     }
 }
 
+bool EntryNode::isKnownFailureDomain(const std::string& name) const
+{
+    const auto& settings = m_state.settings;
+    return name == settings.failureDomain || settings.regionOfFailureDomain.contains(name);
+}
+
+void EntryNode::addEvacuation(const std::string& failureDomain)
+{
+    if (m_evacuations.insert(failureDomain).second && !isKnownFailureDomain(failureDomain))
+        log(LogEvent::StoreEntryRefused,
+            fmt::format("collection=evacuations name=\"{}\": no failure domain of the settings", failureDomain));
+}
+
 void EntryNode::dispatchEvacuations()
 {
+    // Evacuations are repeated in each report to other VMs and recorded in the store, so that names of other writers
+    // must not get there. No target is in a failure domain that the settings do not name.
+    std::set<std::string> known;
+    std::ranges::copy_if(m_evacuations, std::inserter(known, known.end()),
+        [this](const std::string& it) { return isKnownFailureDomain(it); });
     dispatch(entry::EvacuationsChanged { { .revision = m_readers.at(Collection::Evacuations)->revision(),
-        .failureDomains = m_evacuations,
+        .failureDomains = std::move(known),
         .era = m_store->era() } });
 }
 
--- a/tests/node/entry_node_failure_test.cpp
+++ b/tests/node/entry_node_failure_test.cpp
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
+
 namespace arbutuscrank::node::test {
 
 namespace {
@@ -128,4 +131,35 @@
         EXPECT_EQ(store->watches[collection], before.at(collection)) << toString(collection);
 }
 
+// Guards against VMs that no longer hear each other, because the name of an odd evacuation makes their reports larger
+// than a datagram, and against records of it that the system writes for ever.
+TEST_F(EntryNodeFailure, AnEvacuationOfNoKnownFailureDomainIsIgnored)
+{
+    asio::ip::udp::socket other(context, { asio::ip::address_v4::loopback(), 0 });
+    const auto otherAddress = "127.0.0.1:" + std::to_string(other.local_endpoint().port());
+    std::array<char, 65536> buf {};
+    std::size_t received = 0;
+    other.async_receive(asio::buffer(buf), [&](SystemError ec, std::size_t n) { received = ec ? 0 : n; });
+    ASSERT_TRUE(runUntil(context, [&] { return areAllWatchesPending(); }));
+    const auto report = [&](Collection collection, const std::string& name, const std::string& body) {
+        const auto revision = ++store->revision;
+        store->answerWatch(
+            collection, StoreChanges { .changes = { { { name, revision, body }, false } }, .revision = revision });
+        ASSERT_TRUE(runUntil(context, [&] { return areAllWatchesPending(); }));
+    };
+    constexpr std::size_t maxDatagramBytes = 65'507;
+    report(Collection::Evacuations, std::string(maxDatagramBytes, 'z'), "{}");
+    report(Collection::Evacuations, "d&+#% ", "{}");
+    report(Collection::Evacuations, "d", "{}");
+    report(Collection::Members, "vm-2",
+        R"({"region":"r","failureDomain":"d","callerAddress":"127.0.0.1:1","reportAddress":")" + otherAddress
+            + R"("})");
+    EXPECT_TRUE(runUntil(context, [&] { return received != 0; }));
+    const auto isRecordOf = [](std::string_view failureDomain) {
+        return [name = "evacuation." + std::string(failureDomain)](const StoreObject& it) { return it.name == name; };
+    };
+    EXPECT_TRUE(runUntil(context, [&] { return std::ranges::any_of(store->writes, isRecordOf("d")); }));
+    EXPECT_EQ(std::ranges::count_if(store->writes, isRecordOf("d&+#% ")), 0);
+}
+
 } // namespace arbutuscrank::node::test
