Escape control characters in the log, and cut long details

What operators saw: the name of an object in the store can hold line breaks, which added lines of the writer's own to the log, and control sequences for the terminal. The value of a refused entry was logged whole: one of 256 KB fills the log's buffer, and the lines that follow are dropped.

Cause: details were written as they are.

Evidence: Log.AnEventIsOneLineWithoutControlCharacters and Log.ALongDetailIsCut failed before this change. Log.OtherCharactersStayAsTheyAre held before; it limits the change.

Why it works: both logs write details through toLogText, which leaves no control character and at most 4 KiB of a detail. Names in event 903 are quoted, so that one with a blank is seen to be one name.

--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -175,7 +175,7 @@
         if (record)
             records.push_back(std::move(record.value()));
         else if (m_undecodableTargets.insert(object.name).second)
-            log(LogEvent::StoreEntryRefused, fmt::format("name={} {}", object.name, describe(record.error())));
+            log(LogEvent::StoreEntryRefused, fmt::format("name=\"{}\" {}", object.name, describe(record.error())));
     }
     return records;
 }
@@ -212,7 +212,7 @@
             if (auto record = decodeMember(object))
                 records.push_back(std::move(record.value()));
             else
-                log(LogEvent::StoreEntryRefused, fmt::format("name={} {}", object.name, describe(record.error())));
+                log(LogEvent::StoreEntryRefused, fmt::format("name=\"{}\" {}", object.name, describe(record.error())));
         }
         dispatch(entry::MembersListed { std::move(records) });
         dispatch(entry::EvacuationRecordsChanged { m_evacuationRecords });
@@ -263,7 +263,7 @@
         if (auto record = decodeMember(object))
             dispatch(entry::MemberChanged { std::move(record.value()) });
         else
-            log(LogEvent::StoreEntryRefused, fmt::format("name={} {}", object.name, describe(record.error())));
+            log(LogEvent::StoreEntryRefused, fmt::format("name=\"{}\" {}", object.name, describe(record.error())));
         return;
     }
 }
--- a/src/telemetry/blocking_log.cpp
+++ b/src/telemetry/blocking_log.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/blocking_log.hpp"
 
 #include "telemetry/log_levels.hpp"
+#include "telemetry/log_text.hpp"
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -20,7 +21,8 @@
 {
     // The log writes each line synchronously. Lines about single requests are too many for the default level.
     const auto level = isPerRequest(event) ? spdlog::level::debug : levelOf(event);
-    m_logger->log(level, "event={} name={} vm={} {}", static_cast<unsigned>(event), toString(event), m_vm, detail);
+    m_logger->log(
+        level, "event={} name={} vm={} {}", static_cast<unsigned>(event), toString(event), m_vm, toLogText(detail));
 }
 
 } // namespace arbutuscrank
--- a/src/telemetry/blocking_log.hpp
+++ b/src/telemetry/blocking_log.hpp
@@ -22,7 +22,7 @@
     /// \param level least severe level to write: "debug", "info", "warn" or "error"
     BlockingLog(std::string vm, std::string_view level);
 
-    /// \param detail text after the fixed fields, usually "key=value" pairs
+    /// \param detail text after the fixed fields, usually "key=value" pairs; see \ref toLogText
     void write(LogEvent event, std::string_view detail) const;
 
 private:
--- a/src/telemetry/non_blocking_log.cpp
+++ b/src/telemetry/non_blocking_log.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/non_blocking_log.hpp"
 
 #include "telemetry/log_levels.hpp"
+#include "telemetry/log_text.hpp"
 
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
@@ -82,7 +83,8 @@
         ++m_droppedLines;
         return;
     }
-    m_logger->log(level, "event={} name={} vm={} {}", static_cast<unsigned>(event), toString(event), m_vm, detail);
+    m_logger->log(
+        level, "event={} name={} vm={} {}", static_cast<unsigned>(event), toString(event), m_vm, toLogText(detail));
 }
 
 void NonBlockingLog::flush(TimePoint now)
--- a/src/telemetry/non_blocking_log.hpp
+++ b/src/telemetry/non_blocking_log.hpp
@@ -36,7 +36,7 @@
     ~NonBlockingLog();
 
     /// \brief Buffers a line for an event; flush() writes it.
-    /// \param detail text after the fixed fields, usually "key=value" pairs
+    /// \param detail text after the fixed fields, usually "key=value" pairs; see \ref toLogText
     void write(LogEvent event, std::string_view detail, TimePoint now);
 
     /// \brief Logs the number of newly dropped lines, then writes buffered lines as far as possible without blocking.
