Escape names in labels of metrics

What operators saw: a quotation mark, a backslash or a line break in the name of an account or a service makes the whole page of metrics unreadable for a scraper.

Cause: values of labels were written as they are.

Evidence: Metrics.EscapeNamesInLabels failed before this change.

Why it works: the text format escapes exactly these three characters in a label, and escapeLabel does so for the labels of both programs that hold names from outside.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -516,8 +516,9 @@
         for (const auto& [slack, fractions] : split.fractionsByClass) {
             const auto local = fractions.find(m_state.settings.region);
             const auto objective = entry::leastObjectiveMs(slack);
-            text += fmt::format("arbutuscrank_local_fraction{{service=\"{}\",objective_ms=\"{}\"}} {}\n", service,
-                objective ? fmt::to_string(*objective) : "none", local == fractions.end() ? 0 : local->second);
+            text += fmt::format("arbutuscrank_local_fraction{{service=\"{}\",objective_ms=\"{}\"}} {}\n",
+                escapeLabel(service), objective ? fmt::to_string(*objective) : "none",
+                local == fractions.end() ? 0 : local->second);
         }
     }
     addMetric("gauge", "members_known", m_state.members.fleetSize());
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -26,7 +26,7 @@
 
     std::string formatLabels(const std::pair<std::string, std::string>& key)
     {
-        return "account=\"" + key.first + "\",service=\"" + key.second + "\"";
+        return "account=\"" + escapeLabel(key.first) + "\",service=\"" + escapeLabel(key.second) + "\"";
     }
 
     void appendSummary(
@@ -42,6 +42,21 @@
 
 } // namespace
 
+std::string escapeLabel(std::string_view value)
+{
+    std::string out;
+    for (const char it : value) {
+        if (it == '\n') {
+            out += "\\n";
+            continue;
+        }
+        if (it == '"' || it == '\\')
+            out += '\\';
+        out += it;
+    }
+    return out;
+}
+
 LatencyHistogram::LatencyHistogram()
     : m_histogram(boost::histogram::make_histogram(Axis(latencyBinCount, minLatencySeconds, maxLatencySeconds)))
 {
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -17,6 +17,9 @@
 
 namespace arbutuscrank {
 
+/// \brief Escapes the value of a label for the text format.
+[[nodiscard]] std::string escapeLabel(std::string_view value);
+
 /// \brief Histogram of latencies from 50 us to 100 s with bins on a logarithmic scale.
 class LatencyHistogram {
 public:
--- a/tests/telemetry/metrics_test.cpp
+++ b/tests/telemetry/metrics_test.cpp
@@ -17,4 +17,16 @@
     EXPECT_NE(text.find("arbutuscrank_event_loop_delay_max_seconds 1.5\n"), std::string::npos) << text;
 }
 
+// Guards against the name of an account or a service that makes all metrics unreadable for the scraper.
+TEST(Metrics, EscapeNamesInLabels)
+{
+    Metrics metrics;
+    metrics.recordAnswer("a\"b\\c\nd", "s\"", 0.1, true);
+    metrics.recordRefusal("a\"b\\c\nd", "s\"", "over-quota");
+    const auto text = metrics.toText();
+    const std::string labels = R"(account="a\"b\\c\nd",service="s\"")";
+    EXPECT_NE(text.find("arbutuscrank_request_seconds_count{" + labels + "} 1\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("arbutuscrank_refusals_total{" + labels + ",reason="), std::string::npos) << text;
+}
+
 } // namespace arbutuscrank::test
