Keep the VM list when one of its entries names no VM

What operators saw: one odd entry in the platform's VM list (no field "vm", or no object) made arbutuscrankd refuse the whole list. Daemons then find VMs that start only through each other, and learn of none that is gone.

Cause: HttpPlatform::listVms returned an error at the first such entry, although the core skips entries without a name.

Why it works: an entry that is no object, or has no name, becomes one without a name, which the core skips and counts in event 903 when their number changes (Membership.ListEntriesWithoutANameAreIgnoredAndLogged).

--- a/include/arbutuscrank/core/events.hpp
+++ b/include/arbutuscrank/core/events.hpp
@@ -25,7 +25,7 @@
 
 /// \brief One entry of the platform's VM list, which may be out of date.
 struct VmListEntry {
-    VmId vm;
+    VmId vm; ///< empty if the entry names no VM; it is ignored then
     std::string region;
     std::string failureDomain;
     std::string callerAddress;
--- a/include/arbutuscrank/core/membership.hpp
+++ b/include/arbutuscrank/core/membership.hpp
@@ -60,6 +60,7 @@
     TimePoint lastListAt; ///< when the last VM list arrived
     /// Until this time an answer to an abandoned call may still arrive, so an answer cannot be matched to its call.
     TimePoint lateListAnswerUntil;
+    std::size_t namelessListEntries = 0; ///< in the last VM list; a change is logged
     bool isListFailing = false; ///< the last list call failed, and the failure was logged
     TimePoint nextSuspicionCheckAt;
     std::optional<TimePoint> lastTickAt;
--- a/src/core/membership_discovery.cpp
+++ b/src/core/membership_discovery.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
+#include <utility>
 
 namespace arbutuscrank::membership {
 
@@ -137,13 +139,19 @@
     own.lastListAt = context.now;
     own.nextListCallAt = context.now + detail::listCallInterval(state);
     std::set<std::string_view> listed;
+    std::size_t namelessEntries = 0;
     for (const auto& it : event.vms) {
-        if (it.vm.empty())
+        if (it.vm.empty()) {
+            ++namelessEntries;
             continue;
+        }
         listed.insert(it.vm);
         if (it.vm != state.self.process.vm)
             applyListEntry(state, it, context);
     }
+    if (namelessEntries != std::exchange(own.namelessListEntries, namelessEntries))
+        context.log(LogEvent::StoreEntryRefused,
+            "collection=vms entries=" + std::to_string(namelessEntries) + ": an entry must have a field \"vm\"");
     // This VM is running, so a list without it is incomplete or too old to prove that any other VM is gone.
     if (isMatched && listed.contains(state.self.process.vm)) {
         for (auto& [vm, record] : own.members) {
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -126,8 +126,10 @@
                     ErrorCode::Protocol, "vms.list", "the answer does not have status 200 or is not a JSON array");
             std::vector<VmListEntry> vms;
             for (const auto& it : tree) {
-                if (!it.is_object() || stringField(it, "vm").empty())
-                    return makeError(ErrorCode::Protocol, "vms.list", "an entry of the list has no field \"vm\"");
+                if (!it.is_object()) {
+                    vms.emplace_back();
+                    continue;
+                }
                 vms.push_back({ stringField(it, "vm"), stringField(it, "region"), stringField(it, "failureDomain"),
                     stringField(it, "callerAddress"), stringField(it, "peerAddress"),
                     stringField(it, "state") == "leaving" });
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -58,6 +58,18 @@
     [[nodiscard]] bool trusts(std::string_view vm) const { return membership::isTrusted(state, vm); }
 };
 
+// Guards against entries of the VM list without a name that hide the others, count as a VM or fill the log.
+TEST(Membership, ListEntriesWithoutANameAreIgnoredAndLogged)
+{
+    Daemon daemon;
+    const auto size = daemon.state.membership.members.size();
+    daemon.receiveVmList({ "", "a", "" });
+    daemon.receiveVmList({ "", "a", "" });
+    EXPECT_NE(membership::find(daemon.state, "a"), nullptr);
+    EXPECT_EQ(daemon.state.membership.members.size(), size + 1);
+    EXPECT_EQ(daemon.countLogged(LogEvent::StoreEntryRefused), 1);
+}
+
 // Guards against a delayed message of an earlier incarnation that revives it or overwrites data of the later one.
 TEST(Membership, OlderIncarnationIsIgnored)
 {
