Read all pages of a list in one place

Cause: a reader of the store and the feed's cache each put the pages of a list together, with the same rules on where it goes on and where it ends. What an incomplete list means would have to be decided in both.

Change: PagedListing reads the pages, and SharedStore passes a list on as one page, as the feed of another VM does already. A list that does not advance has a gap, which event 908 reports as before. No behaviour changes, except that the feed's cache takes in a list when it has ended, and not page by page.

--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -44,7 +44,6 @@
 {
     ++m_generation;
     m_timer.cancel();
-    m_listedObjects.clear();
     m_watchSentAt.reset();
     m_store->abandonReads(m_collection);
 }
@@ -52,7 +51,7 @@
 void CollectionReader::restart()
 {
     stop();
-    list({});
+    list();
 }
 
 void CollectionReader::restartInNewEra()
@@ -95,39 +94,27 @@
 void CollectionReader::listOrWatch()
 {
     if (m_completeRevision == 0) {
-        list({});
+        list();
         return;
     }
     m_revision = m_completeRevision;
     watch();
 }
 
-void CollectionReader::list(const std::string& after)
+void CollectionReader::list()
 {
     const auto sentAt = currentTime();
-    if (after.empty())
-        m_listProgress.restart();
-    m_store->list(m_collection, after,
-        [self = shared_from_this(), generation = m_generation, sentAt, after](Result<StoreListing> result) {
+    m_store->list(
+        m_collection, {}, [self = shared_from_this(), generation = m_generation, sentAt](Result<StoreListing> result) {
             if (generation != self->m_generation)
                 return;
             if (!result) {
                 self->handleFailure(result.error());
                 return;
             }
-            auto& page = result.value();
-            const auto next = self->m_listProgress.advance(page);
-            // The watch starts at the first page's revision, so that it reports changes made between two pages.
-            if (self->m_listedObjects.empty())
-                self->m_revision = page.revision;
-            std::ranges::move(page.objects, std::back_inserter(self->m_listedObjects));
-            if (!next.empty()) {
-                self->list(next);
-                return;
-            }
-            if (page.hasMore && self->m_handlers.onListCut)
-                self->m_handlers.onListCut(after);
-            if (!self->recordListing()) {
+            const auto& listing = result.value();
+            self->m_revision = listing.revision;
+            if (!self->recordListing(listing)) {
                 self->handleFailure({ ErrorCode::Unavailable, "store.list", std::string(toString(self->m_collection)),
                     "revision " + std::to_string(self->m_revision) + " is older than "
                         + std::to_string(self->m_lastChange) });
@@ -135,8 +122,8 @@
             }
             self->m_consecutiveFailures = 0;
             self->m_completeRevision = self->m_revision;
-            self->m_handlers.onListed(std::exchange(self->m_listedObjects, {}));
-            self->m_handlers.onConfirmed(page.confirmedAt.value_or(sentAt));
+            self->m_handlers.onListed(listing);
+            self->m_handlers.onConfirmed(listing.confirmedAt.value_or(sentAt));
             self->watch();
         });
 }
@@ -178,12 +165,12 @@
     });
 }
 
-bool CollectionReader::recordListing()
+bool CollectionReader::recordListing(const StoreListing& listing)
 {
     if (m_revision < m_lastChange)
         return false;
     std::set<std::string> names;
-    for (const auto& object : m_listedObjects) {
+    for (const auto& object : listing.objects) {
         names.insert(object.name);
         m_lastChange = std::max(m_lastChange, object.revision);
     }
@@ -216,14 +203,13 @@
 void CollectionReader::listAfterBackoff()
 {
     ++m_generation;
-    m_listedObjects.clear();
     m_watchSentAt.reset();
     const auto wait = std::min<Duration>(initialBackoff * (1 << std::min(m_consecutiveFailures, 4U)), maxBackoff);
     ++m_consecutiveFailures;
     m_timer.expires_after(wait);
     m_timer.async_wait([self = shared_from_this(), generation = m_generation](SystemError ec) {
         if (!ec && generation == self->m_generation)
-            self->list({});
+            self->list();
     });
 }
 
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "node/list_progress.hpp"
 #include "node/network.hpp"
 #include "node/object_store.hpp"
 
@@ -29,12 +28,10 @@
 public:
     /// \brief Callbacks from the reader to its owner.
     struct Handlers {
-        std::function<void(std::vector<StoreObject>)> onListed; ///< gets the whole collection
+        std::function<void(const StoreListing&)> onListed; ///< gets the whole collection
         std::function<void(const StoreChange&)> onChanged; ///< gets one change
         std::function<void(TimePoint confirmedAt)> onConfirmed; ///< gets the time as of which a read is confirmed
         std::function<void(const Error&)> onFailed; ///< a call failed; the reader retries by itself
-        /// Called before \ref onListed if the list does not advance, so that it lacks what follows \p after. Optional.
-        std::function<void(std::string_view after)> onListCut;
     };
 
     /// \brief Timing of the watches of a collection.
@@ -44,10 +41,11 @@
         Duration maxSilence {}; ///< age from which a watch that may have missed a change is sent again
     };
 
+    /// \param store its lists must be whole collections, as those of \ref SharedStore are
     CollectionReader(asio::io_context& context, std::shared_ptr<ObjectStore> store, Collection collection,
         WatchTiming timing, Handlers handlers);
 
-    void start() { list({}); }
+    void start() { list(); }
 
     /// \brief Abandons calls in progress. No handler is called until the collection is listed again.
     void stop();
@@ -81,13 +79,13 @@
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
 
 private:
-    void list(const std::string& after);
+    void list();
     void listOrWatch();
     void watch();
     void watchAfterPause();
     void handleFailure(const Error& error);
     /// Records a whole list, unless it lacks a change that an earlier read contained. Returns whether it was recorded.
-    [[nodiscard]] bool recordListing();
+    [[nodiscard]] bool recordListing(const StoreListing& listing);
     void recordChange(const StoreChange& change, std::uint64_t readRevision);
     void listAfterBackoff();
 
@@ -96,8 +94,6 @@
     Collection m_collection;
     WatchTiming m_timing;
     Handlers m_handlers;
-    std::vector<StoreObject> m_listedObjects;
-    ListProgress m_listProgress;
     std::uint64_t m_revision = 0;
     std::uint64_t m_completeRevision = 0; ///< revision of the newest complete read; 0 before the first list
     std::set<std::string> m_names; ///< of the objects that the collection holds
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -77,7 +77,7 @@
     void createReaders();
     void updateStoreSource();
     CollectionReader::Handlers readerHandlers(Collection collection);
-    void applyListing(Collection collection, const std::vector<StoreObject>& objects);
+    void applyListing(Collection collection, const StoreListing& listing);
     void applyChange(Collection collection, const StoreChange& change);
     [[nodiscard]] bool isKnownFailureDomain(const std::string& name) const;
     void addEvacuation(const std::string& failureDomain);
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -74,7 +74,7 @@
 CollectionReader::Handlers EntryNode::readerHandlers(Collection collection)
 {
     return {
-        .onListed = [this, collection](const std::vector<StoreObject>& objects) { applyListing(collection, objects); },
+        .onListed = [this, collection](const StoreListing& listing) { applyListing(collection, listing); },
         .onChanged = [this, collection](const StoreChange& change) { applyChange(collection, change); },
         .onConfirmed =
             [this, collection](TimePoint sentAt) {
@@ -89,10 +89,6 @@
                     replaceSilentWatches();
             },
         .onFailed = [this, collection](const Error& error) { handleReadFailure(collection, error); },
-        .onListCut =
-            [this, collection](std::string_view after) {
-                log(LogEvent::StoreListCut, fmt::format("collection={} after=\"{}\"", toString(collection), after));
-            },
     };
 }
 
@@ -180,8 +176,11 @@
     return records;
 }
 
-void EntryNode::applyListing(Collection collection, const std::vector<StoreObject>& objects)
+void EntryNode::applyListing(Collection collection, const StoreListing& listing)
 {
+    for (const auto& gap : listing.gaps)
+        log(LogEvent::StoreListCut, fmt::format("collection={} after=\"{}\"", toString(collection), gap.after));
+    const auto& objects = listing.objects;
     switch (collection) {
     case Collection::Policy:
         for (const auto& object : objects)
--- a/src/node/feed_cache.cpp
+++ b/src/node/feed_cache.cpp
@@ -1,7 +1,8 @@
 #include "node/feed_cache.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <set>
+#include <string_view>
 
 namespace arbutuscrank::node {
 
@@ -12,33 +13,26 @@
 
 } // namespace
 
-void FeedCache::applyPage(const StoreListing& page, bool isFirst)
+void FeedCache::applyListing(const StoreListing& listing)
 {
-    if (isFirst) {
-        m_partialListing.clear();
-        m_listProgress.restart();
-        m_partialListingRevision = page.revision;
-    }
-    for (const auto& object : page.objects)
-        m_partialListing[object.name] = object;
-    if (!m_listProgress.advance(page).empty())
-        return;
-    const auto listedObjects = std::exchange(m_partialListing, {});
+    std::set<std::string_view> listedNames;
+    for (const auto& object : listing.objects)
+        listedNames.insert(object.name);
     if (!m_isLoaded)
-        m_removalsKeptSince = m_partialListingRevision;
+        m_removalsKeptSince = listing.revision;
     std::vector<std::string> removedNames;
     for (const auto& [name, entry] : m_objects) {
-        if (!listedObjects.contains(name))
+        if (!listedNames.contains(name))
             removedNames.push_back(name);
     }
     for (const auto& name : removedNames)
-        remove(name, m_partialListingRevision);
-    for (const auto& [name, object] : listedObjects) {
-        auto& entry = m_objects[name];
+        remove(name, listing.revision);
+    for (const auto& object : listing.objects) {
+        auto& entry = m_objects[object.name];
         if (entry.object.revision != object.revision || entry.changedAtRevision == 0)
-            entry = { object, m_partialListingRevision };
+            entry = { object, listing.revision };
     }
-    m_revision = std::max(m_revision, m_partialListingRevision);
+    m_revision = std::max(m_revision, listing.revision);
     m_isLoaded = true;
     m_isCurrent = true;
 }
--- a/src/node/feed_cache.hpp
+++ b/src/node/feed_cache.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "node/list_progress.hpp"
 #include "node/object_store.hpp"
 
 #include <deque>
@@ -14,9 +13,8 @@
 /// \brief Objects of one collection, each with the revision of its last change, and the most recent removals.
 class FeedCache {
 public:
-    /// \brief Adds a page of a list. Once its last page is added, the list replaces the cached objects.
-    /// \param isFirst whether the page starts a new list
-    void applyPage(const StoreListing& page, bool isFirst);
+    /// \brief Replaces the cached objects by those of a list of the whole collection.
+    void applyListing(const StoreListing& listing);
     /// \brief Applies the answer of a watch.
     void applyChanges(const StoreChanges& changes);
 
@@ -45,9 +43,6 @@
 
     std::map<std::string, Entry> m_objects;
     std::deque<Removal> m_removals; ///< the most recent ones, oldest first
-    std::map<std::string, StoreObject> m_partialListing; ///< objects of a list whose last page is missing
-    std::uint64_t m_partialListingRevision = 0;
-    ListProgress m_listProgress;
     std::uint64_t m_revision = 0;
     std::uint64_t m_removalsKeptSince = 0; ///< removals after this revision are all kept
     bool m_isLoaded = false;
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -27,7 +27,12 @@
     std::string body; ///< JSON text
 };
 
-/// \brief A page of a collection.
+/// \brief A part of a collection that a list of it does not show.
+struct ListGap {
+    std::string after; ///< name after which the page begins that the list shows last; empty for the first page
+};
+
+/// \brief A page of a collection, or the whole collection as one page.
 struct StoreListing {
     std::vector<StoreObject> objects;
     std::uint64_t revision = 0; ///< store revision as of the read
@@ -37,6 +42,10 @@
     /// of other collections. Without it, the page is confirmed as of the time at which the call was sent.
     std::optional<TimePoint> confirmedAt;
     StoreEra era = 0; ///< of the answer; 0 if it names none
+    std::vector<ListGap> gaps {}; ///< of a whole collection that could not be read to its end
+
+    /// \brief Whether the collection holds no other objects. An object that an incomplete list lacks may still exist.
+    [[nodiscard]] bool isComplete() const noexcept { return gaps.empty(); }
 };
 
 /// \brief One change that a watch reports.
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -1,6 +1,7 @@
 #include "node/shared_store.hpp"
 
 #include "node/clock.hpp"
+#include "node/paged_listing.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -213,7 +214,7 @@
         m_confirmedAt = std::max(m_confirmedAt.value_or(sentAt), sentAt);
 }
 
-void SharedStore::list(Collection collection, const std::string& after, Handler<StoreListing> done)
+void SharedStore::list(Collection collection, const std::string&, Handler<StoreListing> done)
 {
     if (!m_source.empty()) {
         HttpChannel::Request request(
@@ -221,19 +222,23 @@
         feedChannel(collection).call(std::move(request), listTimeout, makeFeedHandler(std::move(done), decodeListing));
         return;
     }
-    ++m_platformCalls;
-    m_platformStore->list(collection, after,
-        [this, collection, sentAt = currentTime(), sentInEra = m_era, isFirst = after.empty(), done = std::move(done)](
-            Result<StoreListing> page) {
-            if (page)
-                noteEra(page.value().era);
-            if (page && m_source.empty() && isCurrent(page.value().era, sentInEra)) {
+    const auto readPage = [this, collection](const std::string& pageAfter, Handler<StoreListing> pageDone) {
+        ++m_platformCalls;
+        m_platformStore->list(collection, pageAfter, std::move(pageDone));
+    };
+    std::make_shared<PagedListing>(readPage,
+        [this, collection, sentAt = currentTime(), sentInEra = m_era, done = std::move(done)](
+            Result<StoreListing> listing) {
+            if (listing)
+                noteEra(listing.value().era);
+            if (listing && m_source.empty() && isCurrent(listing.value().era, sentInEra)) {
                 recordConfirmation(collection, sentAt);
-                m_caches[collection].applyPage(page.value(), isFirst);
+                m_caches[collection].applyListing(listing.value());
                 answerWaiters(collection);
             }
-            deliver(std::move(page), sentInEra, done);
-        });
+            deliver(std::move(listing), sentInEra, done);
+        })
+        ->start();
 }
 
 void SharedStore::watch(Collection collection, std::uint64_t revision, Duration wait, Handler<StoreChanges> done)
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -47,6 +47,7 @@
     /// \brief Number of calls sent to the platform's store.
     [[nodiscard]] std::uint64_t platformCalls() const noexcept { return m_platformCalls; }
 
+    /// \brief Reads the whole collection as one page.
     void list(Collection collection, const std::string& after, Handler<StoreListing> done) override;
     void watch(Collection collection, std::uint64_t revision, Duration wait, Handler<StoreChanges> done) override;
     void abandonReads(Collection collection) override;
--- a/tests/adapter/odd_names_failure_test.cpp
+++ b/tests/adapter/odd_names_failure_test.cpp
@@ -52,7 +52,8 @@
             const auto reader = std::make_shared<node::CollectionReader>(context, store, Collection::Targets,
                 node::CollectionReader::WatchTiming {
                     std::chrono::seconds(5), milliseconds(1), std::chrono::seconds(5) },
-                node::CollectionReader::Handlers { .onListed = [&](auto objects) { listed = std::move(objects); },
+                node::CollectionReader::Handlers {
+                    .onListed = [&](const node::StoreListing& listing) { listed = listing.objects; },
                     .onChanged = [](const node::StoreChange&) {},
                     .onConfirmed = [](TimePoint) {},
                     .onFailed = [&](const Error& error) { failures.push_back(describe(error)); } });
--- a/tests/node/collection_reader_failure_test.cpp
+++ b/tests/node/collection_reader_failure_test.cpp
@@ -20,7 +20,7 @@
 
         CollectionReader::Handlers handlers()
         {
-            return { .onListed = [this](std::vector<StoreObject> objects) { listings.push_back(std::move(objects)); },
+            return { .onListed = [this](const StoreListing& listing) { listings.push_back(listing.objects); },
                 .onChanged = [](const StoreChange&) {},
                 .onConfirmed = [](TimePoint) {},
                 .onFailed = [this](const Error& error) { errors.push_back(error); } };
