Keep what is known when a list of the store is cut

What callers saw: more entries of another writer than a page holds, none of them with a name that can be read, stood before the targets. VMs that had served for long listed the targets again, after a failed read or because the store's history was gone, and answered every request 503 "no-target". They also forgot the other VMs and the evacuations.

Cause: a list that cannot be continued ends early (event 908), but was passed on as the whole collection. What it lacked counted as removed, in the VM and in the feed that it serves to others.

Why it works: a list with gaps only adds and changes entries. It says nothing about what it lacks, so nothing is removed until a watch reports a removal or a complete list lacks the entry. Feeds pass the gaps on.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -98,9 +98,10 @@
     TimePoint sentAt {}; ///< when the confirming call was sent
 };
 
-/// \brief The complete list of targets, as one read of the store returned it.
+/// \brief The list of targets, as one read of the store returned it.
 struct TargetsListed {
     std::vector<TargetRecord> records;
+    bool isComplete = true; ///< the store has no other targets; otherwise it may have some that the list lacks
 };
 
 /// \brief A target was added to the store or changed there.
@@ -124,9 +125,10 @@
     std::set<std::string> failureDomains;
 };
 
-/// \brief The complete list of registered VMs, as one read of the store returned it.
+/// \brief The list of registered VMs, as one read of the store returned it.
 struct MembersListed {
     std::vector<MemberRecord> records;
+    bool isComplete = true; ///< as in \ref TargetsListed
 };
 
 /// \brief A VM registered or changed its registration.
--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -56,6 +56,8 @@
     /// \brief Replaces all registrations. VMs that are not in the list are removed.
     /// \param keepsMissing whether they are kept until \ref removeMissing, because the list may come from an older copy
     void applySnapshot(const std::vector<MemberRecord>& records, TimePoint now, bool keepsMissing = false);
+    /// \brief Adds or replaces the registrations of an incomplete list. The other VMs stay as they are.
+    void applyIncompleteList(const std::vector<MemberRecord>& records, TimePoint now);
     /// \brief Removes the VMs that the newest list lacked and that have not registered since. \returns their names
     std::vector<VmId> removeMissing();
 
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -166,9 +166,10 @@
     /// Time after the end of a store outage within which live targets restore their expired entries.
     static constexpr Duration removalGrace = std::chrono::milliseconds(1900);
 
-    /// \brief Replaces the whole list. Missing targets are removed as by \ref applyRemoval.
+    /// \brief Applies a list. Targets that a complete list lacks are removed as by \ref applyRemoval.
     /// \returns IDs of the targets that were removed or have started to drain
-    std::vector<std::string> applySnapshot(std::span<const TargetRecord> records, TimePoint now);
+    std::vector<std::string> applySnapshot(
+        std::span<const TargetRecord> records, TimePoint now, bool isComplete = true);
 
     /// \brief Adds or updates one target.
     /// \returns true if the target has just started to drain
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -93,6 +93,17 @@
         updateRegions();
 }
 
+void MemberTable::applyIncompleteList(const std::vector<MemberRecord>& records, TimePoint now)
+{
+    bool changesRegions = false;
+    for (const auto& record : records) {
+        if (storeRecord(record, now))
+            changesRegions = true;
+    }
+    if (changesRegions)
+        updateRegions();
+}
+
 std::vector<VmId> MemberTable::removeMissing()
 {
     std::vector<VmId> removed;
--- a/src/entry/reduce_store.cpp
+++ b/src/entry/reduce_store.cpp
@@ -94,7 +94,7 @@
         if (target.isCold(now))
             coldBefore.insert(id);
     }
-    for (const auto& id : state.targets.applySnapshot(event.records, now)) {
+    for (const auto& id : state.targets.applySnapshot(event.records, now, event.isComplete)) {
         const auto* target = state.targets.find(id);
         stopUsingTarget(id, target ? "draining" : "removed", target ? target->record.revision : 0, out);
     }
@@ -134,7 +134,10 @@
 void apply(EntryState& state, const MembersListed& event, TimePoint now, Effects& out)
 {
     state.storeEra.members.recordList(now);
-    state.members.applySnapshot(event.records, now, state.storeEra.members.contains(now));
+    if (event.isComplete)
+        state.members.applySnapshot(event.records, now, state.storeEra.members.contains(now));
+    else
+        state.members.applyIncompleteList(event.records, now);
     state.hasMemberList = true;
     state.retryLimit.setFleetSize(state.members.fleetSize());
     updateCoordination(state, now, out);
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -108,7 +108,8 @@
         target.coldUntil = std::max(target.coldUntil.value_or(now), now + record.coldRemaining);
 }
 
-std::vector<std::string> TargetTable::applySnapshot(std::span<const TargetRecord> records, TimePoint now)
+std::vector<std::string> TargetTable::applySnapshot(
+    std::span<const TargetRecord> records, TimePoint now, bool isComplete)
 {
     m_eraGrace.recordList(now);
     std::vector<std::string> drainingOrRemovedIds;
@@ -120,7 +121,7 @@
     }
     std::vector<std::string> missingIds;
     for (const auto& [id, target] : m_targets) {
-        if (!present.contains(id))
+        if (isComplete && !present.contains(id))
             missingIds.push_back(id);
     }
     for (const auto& id : missingIds) {
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -174,6 +174,8 @@
         names.insert(object.name);
         m_lastChange = std::max(m_lastChange, object.revision);
     }
+    if (!listing.isComplete())
+        names.insert(m_names.begin(), m_names.end());
     // A list does not say when an object was removed.
     if (!std::ranges::includes(names, m_names))
         m_lastChange = std::max(m_lastChange, m_revision);
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -28,7 +28,8 @@
 public:
     /// \brief Callbacks from the reader to its owner.
     struct Handlers {
-        std::function<void(const StoreListing&)> onListed; ///< gets the whole collection
+        /// Gets the whole collection. An incomplete list says nothing about the objects that it lacks.
+        std::function<void(const StoreListing&)> onListed;
         std::function<void(const StoreChange&)> onChanged; ///< gets one change
         std::function<void(TimePoint confirmedAt)> onConfirmed; ///< gets the time as of which a read is confirmed
         std::function<void(const Error&)> onFailed; ///< a call failed; the reader retries by itself
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -187,10 +187,11 @@
             applyPolicyObject(object);
         return;
     case Collection::Targets:
-        dispatch(entry::TargetsListed { decodeTargets(objects) });
+        dispatch(entry::TargetsListed { decodeTargets(objects), listing.isComplete() });
         return;
     case Collection::Evacuations:
-        m_evacuations.clear();
+        if (listing.isComplete())
+            m_evacuations.clear();
         for (const auto& object : objects)
             addEvacuation(object.name);
         dispatchEvacuations();
@@ -198,8 +199,11 @@
     case Collection::Members: {
         std::vector<entry::MemberRecord> records;
         const StoreObject* self = nullptr;
-        m_memberRevisions.clear();
-        m_evacuationRecords.clear();
+        if (listing.isComplete()) {
+            m_memberRevisions.clear();
+            m_evacuationRecords.clear();
+        }
+        const bool isKnownMember = m_memberRevisions.contains(m_state.settings.vm);
         for (const auto& object : objects) {
             m_memberRevisions[object.name] = object.revision;
             if (auto failureDomain = recordedEvacuation(object)) {
@@ -213,9 +217,10 @@
             else
                 log(LogEvent::StoreEntryRefused, fmt::format("name=\"{}\" {}", object.name, describe(record.error())));
         }
-        dispatch(entry::MembersListed { std::move(records) });
+        dispatch(entry::MembersListed { std::move(records), listing.isComplete() });
         dispatch(entry::EvacuationRecordsChanged { m_evacuationRecords });
-        registerSelf(self);
+        if (self || !isKnownMember)
+            registerSelf(self);
         if (!m_hasStartedReaders)
             updateStoreSource();
         return;
--- a/src/node/feed_cache.cpp
+++ b/src/node/feed_cache.cpp
@@ -22,7 +22,7 @@
         m_removalsKeptSince = listing.revision;
     std::vector<std::string> removedNames;
     for (const auto& [name, entry] : m_objects) {
-        if (!listedNames.contains(name))
+        if (listing.isComplete() && !listedNames.contains(name))
             removedNames.push_back(name);
     }
     for (const auto& name : removedNames)
@@ -32,6 +32,7 @@
         if (entry.object.revision != object.revision || entry.changedAtRevision == 0)
             entry = { object, listing.revision };
     }
+    m_gaps = listing.gaps;
     m_revision = std::max(m_revision, listing.revision);
     m_isLoaded = true;
     m_isCurrent = true;
@@ -61,7 +62,7 @@
 
 StoreListing FeedCache::listing() const
 {
-    StoreListing out { .revision = m_revision };
+    StoreListing out { .revision = m_revision, .gaps = m_gaps };
     for (const auto& [name, entry] : m_objects)
         out.objects.push_back(entry.object);
     return out;
--- a/src/node/feed_cache.hpp
+++ b/src/node/feed_cache.hpp
@@ -13,7 +13,7 @@
 /// \brief Objects of one collection, each with the revision of its last change, and the most recent removals.
 class FeedCache {
 public:
-    /// \brief Replaces the cached objects by those of a list of the whole collection.
+    /// \brief Applies a list of the whole collection. Objects that a complete list lacks are removed.
     void applyListing(const StoreListing& listing);
     /// \brief Applies the answer of a watch.
     void applyChanges(const StoreChanges& changes);
@@ -43,6 +43,7 @@
 
     std::map<std::string, Entry> m_objects;
     std::deque<Removal> m_removals; ///< the most recent ones, oldest first
+    std::vector<ListGap> m_gaps; ///< of the newest list
     std::uint64_t m_revision = 0;
     std::uint64_t m_removalsKeptSince = 0; ///< removals after this revision are all kept
     bool m_isLoaded = false;
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -50,7 +50,12 @@
         auto objects = Json::array();
         for (const auto& object : listing.objects)
             objects.push_back(encodeObject(object));
-        return Json { { "revision", listing.revision }, { "objects", std::move(objects) } }.dump();
+        auto gaps = Json::array();
+        for (const auto& gap : listing.gaps)
+            gaps.push_back(gap.after);
+        return Json {
+            { "revision", listing.revision }, { "objects", std::move(objects) }, { "gaps", std::move(gaps) }
+        }.dump();
     }
 
     std::string encode(const StoreChanges& changes)
@@ -82,6 +87,8 @@
             .era = json.value("era", StoreEra { 0 }) };
         for (const auto& object : json.at("objects"))
             out.objects.push_back(decodeObject(object));
+        for (const auto& gap : json.value("gaps", Json::array())) // VMs of earlier versions send none
+            out.gaps.push_back({ gap.get<std::string>() });
         return out;
     }
 
@@ -234,6 +241,7 @@
             if (listing && m_source.empty() && isCurrent(listing.value().era, sentInEra)) {
                 recordConfirmation(collection, sentAt);
                 m_caches[collection].applyListing(listing.value());
+                m_encodedListings.erase(collection);
                 answerWaiters(collection);
             }
             deliver(std::move(listing), sentInEra, done);
--- a/tests/adapter/paged_store.hpp
+++ b/tests/adapter/paged_store.hpp
@@ -24,7 +24,7 @@
 ///
 /// Paths and queries are decoded as usual: "%XX" is a byte, "+" in a query is a space, "&" separates parameters. A
 /// request line with other than three words, or with a "#", is answered with 400; one that is too long with 414.
-/// Watches wait for ever.
+/// Watches wait until \ref endHistory.
 class PagedStore {
 public:
     using Json = nlohmann::json;
@@ -51,6 +51,24 @@
         objects[{ kind, name }] = { Json { { "name", name }, { "rev", ++m_revision } }.dump(), spec };
     }
 
+    /// \brief Adds an object whose name cannot be read. Its key is its place in the order of names.
+    void putNameless(const std::string& kind, const std::string& key, const std::string& spec)
+    {
+        objects[{ kind, key }] = { R"({"name":7,"rev":)" + std::to_string(++m_revision) + "}", spec };
+    }
+
+    /// \brief Answers all watches with 410, so that their senders list the collections again.
+    void endHistory()
+    {
+        for (const auto& [kind, it] : std::exchange(m_watches, {}))
+            answer(it, 410, "{}");
+    }
+
+    [[nodiscard]] bool hasWatch(const std::string& kind) const
+    {
+        return std::ranges::any_of(m_watches, [&](const auto& it) { return it.first == kind; });
+    }
+
     /// JSON texts of an object, which are sent as they are.
     struct Object {
         std::string metadata;
@@ -60,7 +78,9 @@
     std::vector<std::string> refusedLines; ///< request lines that could not be read
     std::vector<Key> removed;
     std::size_t lists = 0; ///< pages that were sent
+    std::map<std::string, std::size_t> listsByKind; ///< as \ref lists
     bool ignoresAfter = false; ///< each page is the first one
+    bool refusesUnknownNames = false; ///< answers 400 to a list that is continued after no object's name
 
 private:
     struct Connection {
@@ -165,9 +185,9 @@
         const auto slash = std::min(path.find('/'), path.size());
         const Key key { path.substr(0, slash), decode(path.substr(std::min(slash + 1, path.size())), false) };
         if (method == "GET" && query.contains("watch"))
-            m_watches.push_back(it);
+            m_watches.emplace_back(key.first, it);
         else if (method == "GET")
-            answer(it, 200, list(key.first, query.contains("after") ? query.at("after") : std::string()));
+            answerList(it, key.first, query.contains("after") ? query.at("after") : std::string());
         else if (method == "POST")
             create(it, key.first, Json::parse(body));
         else
@@ -215,9 +235,18 @@
         return R"({"metadata":)" + object.metadata + R"(,"spec":)" + object.spec + "}";
     }
 
+    void answerList(const ConnectionPtr& it, const std::string& kind, const std::string& after)
+    {
+        if (refusesUnknownNames && !after.empty() && !objects.contains({ kind, after }))
+            answer(it, 400, "{}");
+        else
+            answer(it, 200, list(kind, after));
+    }
+
     std::string list(const std::string& kind, const std::string& after)
     {
         ++lists;
+        ++listsByKind[kind];
         std::string items;
         std::size_t n = 0;
         bool hasMore = false;
@@ -246,7 +275,7 @@
 
     std::size_t m_pageSize;
     node::Tcp::acceptor m_acceptor;
-    std::vector<ConnectionPtr> m_watches; ///< stay open
+    std::vector<std::pair<std::string, ConnectionPtr>> m_watches; ///< by kind
     std::uint64_t m_revision = 100;
 };
 
--- a/tests/node/memory_store.hpp
+++ b/tests/node/memory_store.hpp
@@ -20,7 +20,7 @@
         if (isUnavailable)
             done(Error { ErrorCode::Unavailable, "store.call", {}, "status 503" });
         else
-            done(StoreListing { .objects = objects, .revision = revision, .era = era });
+            done(StoreListing { .objects = objects, .revision = revision, .hasMore = isCut, .era = era });
     }
     void watch(Collection collection, std::uint64_t, Duration, Handler<StoreChanges> done) override
     {
@@ -76,6 +76,7 @@
     EraHandler eraHandler;
     bool holdsWrites = false; ///< writes stay pending until they are abandoned
     bool isUnavailable = false;
+    bool isCut = false; ///< lists have a further page that cannot be asked for
     int calls = 0;
 
 private:
--- a/tests/node/shared_store_failure_test.cpp
+++ b/tests/node/shared_store_failure_test.cpp
@@ -51,6 +51,31 @@
 
 } // namespace
 
+// Guards against targets that all VMs of a failure domain drop, because a list of the VM that reads the store for them
+// lacks these.
+TEST_F(SharedStoreFailure, TheFeedKeepsWhatACutListLacks)
+{
+    coordinatorStore->objects = { { "main", 5, "{}" }, { "t-01", 6, "{}" }, { "t-02", 7, "{}" } };
+    for (const auto collection : { Collection::Policy, Collection::Targets })
+        coordinator->list(collection, {}, [](const auto&) {});
+    coordinatorStore->objects = { { "t-01", 8, "{}" } };
+    coordinatorStore->isCut = true;
+    coordinator->list(Collection::Targets, {}, [](const auto&) {});
+    const auto listing = list(Collection::Targets);
+    ASSERT_TRUE(listing);
+    std::map<std::string, ObjectVersion> revisions;
+    for (const auto& object : listing.value().objects)
+        revisions[object.name] = object.revision;
+    EXPECT_EQ(revisions, (std::map<std::string, ObjectVersion> { { "main", 5 }, { "t-01", 8 }, { "t-02", 7 } }));
+    EXPECT_FALSE(listing.value().isComplete());
+    coordinatorStore->isCut = false;
+    coordinator->list(Collection::Targets, {}, [](const auto&) {});
+    const auto complete = list(Collection::Targets);
+    ASSERT_TRUE(complete);
+    EXPECT_EQ(complete.value().objects.size(), 1U);
+    EXPECT_TRUE(complete.value().isComplete());
+}
+
 // Guards against a number of store calls that grows with the fleet.
 TEST_F(SharedStoreFailure, AFollowerReadsWithoutCallsToTheStore)
 {
