Read on after pages without a name that can be used

What callers saw: another writer had put more entries before the first target than a page holds, none with a name that can be read. All processes were restarted, got ready, and answered every request 503 "no-target": 0 of 40 on, with two pages of such entries.

Cause: a list is continued after the last name of a page that can be read and sent. If a page had none, the list ended there, although the store continues a list after any text.

Why it works: ListGapSearch narrows down the least text after which a page leads on, within 64 pages a list. The list still counts as incomplete, because the search may pass over entries, and event 908 names both ends of the gap.

--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -179,7 +179,8 @@
 void EntryNode::applyListing(Collection collection, const StoreListing& listing)
 {
     for (const auto& gap : listing.gaps)
-        log(LogEvent::StoreListCut, fmt::format("collection={} after=\"{}\"", toString(collection), gap.after));
+        log(LogEvent::StoreListCut,
+            fmt::format("collection={} after=\"{}\" until=\"{}\"", toString(collection), gap.after, gap.until));
     const auto& objects = listing.objects;
     switch (collection) {
     case Collection::Policy:
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -52,7 +52,7 @@
             objects.push_back(encodeObject(object));
         auto gaps = Json::array();
         for (const auto& gap : listing.gaps)
-            gaps.push_back(gap.after);
+            gaps.push_back({ gap.after, gap.until });
         return Json {
             { "revision", listing.revision }, { "objects", std::move(objects) }, { "gaps", std::move(gaps) }
         }.dump();
@@ -88,7 +88,7 @@
         for (const auto& object : json.at("objects"))
             out.objects.push_back(decodeObject(object));
         for (const auto& gap : json.value("gaps", Json::array())) // VMs of earlier versions send none
-            out.gaps.push_back({ gap.get<std::string>() });
+            out.gaps.push_back({ gap.at(0).get<std::string>(), gap.at(1).get<std::string>() });
         return out;
     }
 
--- a/tests/adapter/cut_lists_failure_test.cpp
+++ b/tests/adapter/cut_lists_failure_test.cpp
@@ -4,6 +4,8 @@
 #include "wire_names.hpp"
 
 #include "node/entry_node.hpp"
+#include "node/list_gap_search.hpp"
+#include "node/paged_listing.hpp"
 
 #include <gtest/gtest.h>
 
@@ -120,6 +122,8 @@
         std::optional<node::EntryNode> vm;
     };
 
+    struct NamelessPages : CutListFailure, testing::WithParamInterface<Names> { };
+
 } // namespace
 
 // Guards against VMs that drop all targets, VMs and evacuations that they know, because entries without a readable name
@@ -142,4 +146,53 @@
     EXPECT_TRUE(isReady());
 }
 
+// RECOVER. Guards against VMs that start and serve nothing, because pages without one readable name hide the targets.
+TEST_P(NamelessPages, AVmThatStartsFindsTheTargetsBehindThem)
+{
+    for (const auto& prefix : GetParam()) {
+        for (const char digit : std::string_view("0123456"))
+            server.putNameless("servers", prefix + digit, oddSpec);
+    }
+    startVm();
+    ASSERT_TRUE(node::test::runUntil(context, [&] { return server.hasWatch("servers"); }));
+    EXPECT_EQ(knownTargets(), targets);
+    EXPECT_TRUE(isReady());
+}
+
+// Before all targets, under names that begin like theirs, between two of them, and in two places.
+INSTANTIATE_TEST_SUITE_P(CutListFailure, NamelessPages,
+    testing::Values(Names { "a-" }, Names { "t-!" }, Names { "t-03x" }, Names { "t-0!", "t-05x" }));
+
+// Guards against targets that VMs miss although the store shows them, and against a search that does not end.
+TEST(ListGapSearch, FindsTheLeastTextThatLeadsOn)
+{
+    const std::vector<std::string> boundaries { "a", "t-0", "upstrea", "~~~", "t-\xc3\xa4x", "B", "0" };
+    for (const auto& boundary : boundaries) {
+        node::ListGapSearch search({}, {});
+        for (int i = 0; i < node::PagedListing::maxSearchedPages; ++i) {
+            const auto text = search.nextText();
+            if (text.empty())
+                break;
+            node::StoreListing page { .objects = { { .name = boundary + "-1" } } };
+            page.hasMore = text < boundary;
+            search.recordPage(text, page);
+        }
+        const auto found = search.takeFound();
+        ASSERT_TRUE(found) << boundary;
+        EXPECT_GE(found->after, boundary);
+        EXPECT_LT(found->after, boundary + "~") << boundary;
+    }
+}
+
+// Guards against a search that asks for the same page for ever.
+TEST(ListGapSearch, TextsAreBetweenTheOthers)
+{
+    EXPECT_EQ(node::textBetween("", std::nullopt), "O");
+    EXPECT_EQ(node::textBetween("t-01", "t-03"), "t-02");
+    EXPECT_EQ(node::textBetween("a", "b"), "aO");
+    EXPECT_EQ(node::textBetween("a~", "b"), "a~O");
+    EXPECT_EQ(node::textBetween("a", "a "), "");
+    EXPECT_EQ(node::textBetween("a\xc3\xa4", "b"), "a\xc3\xa4O");
+}
+
 } // namespace arbutuscrank::platform
