List a collection again whose list was cut

Cause: after a list the reader only watches, and the hidden entries had not changed.

Evidence: CollectionReaderFailure.AnIncompleteListIsReadAgain failed before this change: no list followed the incomplete one.

Why it works: 15 s after an incomplete list the collection is listed again. The watch before waits no longer than until then.

--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -122,6 +122,7 @@
             }
             self->m_consecutiveFailures = 0;
             self->m_completeRevision = self->m_revision;
+            self->m_incompleteSince = listing.isComplete() ? std::nullopt : std::optional(currentTime());
             self->m_handlers.onListed(listing);
             self->m_handlers.onConfirmed(listing.confirmedAt.value_or(sentAt));
             self->watch();
@@ -131,8 +132,17 @@
 void CollectionReader::watch()
 {
     const auto sentAt = currentTime();
+    auto wait = m_timing.wait;
+    if (m_incompleteSince) {
+        const auto untilList = *m_incompleteSince + m_timing.incompleteListLifetime - sentAt;
+        if (untilList <= Duration::zero()) {
+            list();
+            return;
+        }
+        wait = std::min(wait, std::max<Duration>(untilList, std::chrono::milliseconds(1)));
+    }
     m_watchSentAt = sentAt;
-    m_store->watch(m_collection, m_revision, m_timing.wait,
+    m_store->watch(m_collection, m_revision, wait,
         [self = shared_from_this(), generation = m_generation, sentAt](Result<StoreChanges> result) {
             if (generation != self->m_generation)
                 return;
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -40,6 +40,9 @@
         Duration wait {}; ///< time after which the store answers a watch even without changes
         Duration pause {}; ///< delay from a change to the next watch, which then reports all changes since
         Duration maxSilence {}; ///< age from which a watch that may have missed a change is sent again
+        /// Time after which a collection is listed again whose list was incomplete. No watch reports what such a list
+        /// lacks once it can be read.
+        Duration incompleteListLifetime = std::chrono::seconds(15);
     };
 
     /// \param store its lists must be whole collections, as those of \ref SharedStore are
@@ -82,6 +85,7 @@
 private:
     void list();
     void listOrWatch();
+    /// Sends a watch, or lists the collection again if its incomplete list has become too old.
     void watch();
     void watchAfterPause();
     void handleFailure(const Error& error);
@@ -100,6 +104,7 @@
     std::set<std::string> m_names; ///< of the objects that the collection holds
     std::uint64_t m_lastChange = 0; ///< revision that a read must have to contain all changes reported so far
     std::uint64_t m_generation = 0; ///< changes with each restart, so that answers to earlier calls are ignored
+    std::optional<TimePoint> m_incompleteSince; ///< when the newest list was read, if it was incomplete
     std::optional<TimePoint> m_watchSentAt; ///< set while a watch waits for its answer
     std::uint64_t m_checkedRevision = 0; ///< newest revision for which a watch was sent again
     std::uint32_t m_consecutiveFailures = 0;
--- a/tests/node/collection_reader_failure_test.cpp
+++ b/tests/node/collection_reader_failure_test.cpp
@@ -1,9 +1,12 @@
 #include "node/collection_reader.hpp"
 
 #include "node/memory_store.hpp"
+#include "node/shared_store.hpp"
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace arbutuscrank::node::test {
 
 namespace {
@@ -90,4 +93,28 @@
     EXPECT_TRUE(errors.empty());
 }
 
+// Guards against targets that running VMs never learn of, because no watch reports them once the entries that hid them
+// in a list are gone.
+TEST_F(CollectionReaderFailure, AnIncompleteListIsReadAgain)
+{
+    constexpr milliseconds lifetime(50);
+    const auto other = std::make_shared<CollectionReader>(context, std::make_shared<SharedStore>(context, store),
+        Collection::Targets,
+        CollectionReader::WatchTiming { milliseconds(100), milliseconds(1), milliseconds(100), lifetime }, handlers());
+    const auto answerWatch = [&] { store->answerWatch(Collection::Targets, StoreChanges { .revision = 10 }); };
+    store->isCut = true;
+    other->start();
+    const auto pages = store->lists[Collection::Targets];
+    std::this_thread::sleep_for(2 * lifetime);
+    store->objects = { { "zone-a", 4, "{}" }, { "zone-b", 5, "{}" } };
+    store->isCut = false;
+    answerWatch();
+    EXPECT_EQ(store->lists[Collection::Targets], pages + 1);
+    EXPECT_EQ(listings.back().size(), 2U);
+    // A complete list is not read again.
+    std::this_thread::sleep_for(2 * lifetime);
+    answerWatch();
+    EXPECT_EQ(store->lists[Collection::Targets], pages + 1);
+}
+
 } // namespace arbutuscrank::node::test
