Take no list that hides the configuration as a confirmation of it

What could happen: a key is withdrawn while a VM does not read the store, and entries of another writer hide the configuration in the list with which it reads on. The VM goes on running requests with the withdrawn key.

Cause: each answered read of the collection confirmed the configuration in force, also a list that was cut before it. Watches report later changes only.

Evidence: CutListFailure.AListThatHidesTheConfigurationDoesNotConfirmIt failed without the condition on PolicyConfirmed: the cut list confirmed the configuration 2 ms before it was looked at, where the last read that showed it was at least 300 ms old.

Why it works: an incomplete list without a readable configuration, and the watches after it, confirm nothing. Requests with keys are refused once the last confirmation is too old, and no feed passes it on.

--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -81,7 +81,7 @@
                 m_readConfirmedAt[collection] = sentAt;
                 dispatch(entry::StoreAnswered {
                     .isDirect = m_store->source().empty(), .confirmsPolicy = collection == Collection::Policy });
-                if (collection == Collection::Policy && m_state.policy.policy().version != 0)
+                if (collection == Collection::Policy && m_state.policy.policy().version != 0 && !m_isPolicyHidden)
                     dispatch(entry::PolicyConfirmed { sentAt });
                 if (collection == Collection::Policy && m_mustListAfterFailure)
                     listAfterFailure();
@@ -152,7 +152,13 @@
     updateStoreSource();
 }
 
-void EntryNode::applyPolicyObject(const StoreObject& object)
+void EntryNode::setPolicyHidden(bool isHidden)
+{
+    m_isPolicyHidden = isHidden;
+    m_store->setPolicyHidden(isHidden);
+}
+
+bool EntryNode::applyPolicyObject(const StoreObject& object)
 {
     auto policy = m_platform.decoder->decodePolicy(object);
     if (policy)
@@ -161,6 +167,7 @@
         log(LogEvent::ConfigurationRefused,
             fmt::format("revision={} in_force={} {}", object.revision, m_state.policy.policy().version,
                 describe(policy.error())));
+    return policy.has_value();
 }
 
 std::vector<entry::TargetRecord> EntryNode::decodeTargets(const std::vector<StoreObject>& objects)
@@ -184,10 +191,13 @@
             fmt::format("collection={} after=\"{}\" until=\"{}\"", toString(collection), gap.after, gap.until));
     const auto& objects = listing.objects;
     switch (collection) {
-    case Collection::Policy:
+    case Collection::Policy: {
+        bool isShown = false;
         for (const auto& object : objects)
-            applyPolicyObject(object);
+            isShown = applyPolicyObject(object) || isShown;
+        setPolicyHidden(!isShown && !listing.isComplete());
         return;
+    }
     case Collection::Targets:
         dispatch(entry::TargetsListed { decodeTargets(objects), listing.isComplete() });
         return;
@@ -235,8 +245,8 @@
     const auto& object = change.object;
     switch (collection) {
     case Collection::Policy:
-        if (!change.isDeleted)
-            applyPolicyObject(object);
+        if (!change.isDeleted && applyPolicyObject(object))
+            setPolicyHidden(false);
         return;
     case Collection::Targets:
         // An entry that can no longer be read names no target, as in a list.
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -217,7 +217,7 @@
 
 void SharedStore::recordConfirmation(Collection collection, TimePoint sentAt)
 {
-    if (collection == Collection::Policy)
+    if (collection == Collection::Policy && !m_isPolicyHidden)
         m_confirmedAt = std::max(m_confirmedAt.value_or(sentAt), sentAt);
 }
 
@@ -462,6 +462,13 @@
     refuseFeedReads();
 }
 
+void SharedStore::setPolicyHidden(bool isHidden)
+{
+    if (isHidden && !m_isPolicyHidden)
+        refuseFeedReads();
+    m_isPolicyHidden = isHidden;
+}
+
 void SharedStore::refuseFeedReads()
 {
     m_hasRefusedReads = true;
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -38,6 +38,10 @@
     /// often, that holds for every collection.
     void invalidateFeed(Collection failed);
 
+    /// \brief Sets whether reads of the policy confirm it. They do not while the newest list was incomplete and lacked
+    /// the policy, because a change of it may be hidden. The feed is not served then.
+    void setPolicyHidden(bool isHidden);
+
     /// \brief Greatest era of the store that is known; 0 if none is.
     [[nodiscard]] StoreEra era() const noexcept { return m_era; }
     /// \brief Records an era of the store. If it is a rise, the feed refuses reads until the collections are read
@@ -125,6 +129,7 @@
     EraHandler m_eraHandler;
     std::optional<TimePoint> m_confirmedAt; ///< send time of the last answered read of the policy
     std::map<WaiterId, Waiter> m_waiters;
+    bool m_isPolicyHidden = false;
     bool m_hasRefusedReads = false; ///< a failure or another source has ended the first reads
     WaiterId m_lastWaiterId = 0;
     std::uint64_t m_platformCalls = 0;
--- a/tests/adapter/cut_lists_failure_test.cpp
+++ b/tests/adapter/cut_lists_failure_test.cpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <optional>
 #include <set>
+#include <thread>
 
 /// \file
 /// \brief Lists of the store that cannot be read to their end, because none of the names on a page can be read.
@@ -146,6 +147,27 @@
     EXPECT_TRUE(isReady());
 }
 
+// CONFIG. Guards against withdrawn keys that go on working, because a list that hides a change of the configuration
+// counts as proof that there is none.
+TEST_F(CutListFailure, AListThatHidesTheConfigurationDoesNotConfirmIt)
+{
+    constexpr std::int64_t ageMs = 300;
+    server.refusesUnknownNames = true;
+    startVm();
+    ASSERT_TRUE(node::test::runUntil(context, [&] { return server.hasWatch("config") && isReady(); }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(ageMs));
+    putNamelessPage("config");
+    ASSERT_TRUE(waitForLists());
+    EXPECT_GE(dump().at("configurationConfirmedMsAgo").get<std::int64_t>(), ageMs);
+    for (const auto* key : { "a-0", "a-1", "a-2" })
+        server.objects.erase({ "config", key });
+    const auto listedAfter = std::chrono::steady_clock::now();
+    ASSERT_TRUE(waitForLists());
+    const auto confirmedMsAgo = dump().at("configurationConfirmedMsAgo").get<std::int64_t>();
+    const auto elapsed = std::chrono::steady_clock::now() - listedAfter;
+    EXPECT_LT(confirmedMsAgo, elapsed / std::chrono::milliseconds(1) + ageMs);
+}
+
 // RECOVER. Guards against VMs that start and serve nothing, because pages without one readable name hide the targets.
 TEST_P(NamelessPages, AVmThatStartsFindsTheTargetsBehindThem)
 {
