Be ready after a cut list of targets only if a target is known

What callers saw: a VM that starts reads a list of targets that is cut before the first one. It was ready, look-ups named it, and it answered every request 503 "no-target", although other VMs know the targets.

Cause: any first list of targets made a VM ready.

Evidence: CutListFailure.AVmWithoutTargetsAfterACutListIsNotReady failed before this change: the readiness check was answered 200.

Why it works: a list with a gap that names no target is no proof that there is none, so the VM keeps starting, and callers go to other VMs. The answer to the readiness check gives the reason, and a gauge shows gaps of each collection.

--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -226,8 +226,11 @@
         return m_isColdnessUnknown || target.isCold(now) || target.rateLimit(now);
     }
 
-    /// \brief Whether the list has been read since the start of the process.
-    [[nodiscard]] bool isLoaded() const noexcept { return m_isLoaded; }
+    /// \brief Whether the list has been read since the start of the process. An incomplete list counts only if a target
+    /// is known, since the store may hold targets that it lacks.
+    [[nodiscard]] bool isLoaded() const noexcept { return m_isLoaded && !hidesAllTargets(); }
+    /// \brief Whether the newest list was incomplete, and no target is known.
+    [[nodiscard]] bool hidesAllTargets() const noexcept { return m_isListIncomplete && m_targets.empty(); }
 
 private:
     /// A target that was removed.
@@ -251,6 +254,7 @@
     std::map<std::string, Target, std::less<>> m_targets;
     std::set<std::string> m_evacuated;
     bool m_isLoaded = false;
+    bool m_isListIncomplete = false;
     bool m_isStoreUnavailable = false;
     bool m_isColdnessUnknown = false;
     std::optional<TimePoint> m_outageEndedAt;
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -129,6 +129,7 @@
             drainingOrRemovedIds.push_back(id);
     }
     m_isLoaded = true;
+    m_isListIncomplete = !isComplete;
     return drainingOrRemovedIds;
 }
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -459,8 +459,12 @@
 {
     if (target.substr(0, target.find('?')) != m_platform.paths.readiness)
         return makeAnswer(http::status::not_found, {}, "text/plain");
-    return isReady(m_state) ? makeAnswer(http::status::ok, "ready\n", "text/plain")
-                            : makeAnswer(http::status::service_unavailable, "not ready\n", "text/plain");
+    if (isReady(m_state))
+        return makeAnswer(http::status::ok, "ready\n", "text/plain");
+    return makeAnswer(http::status::service_unavailable,
+        m_state.targets.hidesAllTargets() ? "not ready: the list of targets has a gap and names no target\n"
+                                          : "not ready\n",
+        "text/plain");
 }
 
 HttpGetServer::Answer EntryNode::serveLookup(std::string_view target)
@@ -502,6 +506,9 @@
     for (const auto& [collection, confirmedAt] : m_readConfirmedAt)
         text += fmt::format("arbutuscrank_collection_age_seconds{{collection=\"{}\"}} {}\n", toString(collection),
             std::chrono::duration<double>(now - confirmedAt).count());
+    text += "# TYPE arbutuscrank_collection_list_gaps gauge\n";
+    for (const auto& [collection, gaps] : m_listGaps)
+        text += fmt::format("arbutuscrank_collection_list_gaps{{collection=\"{}\"}} {}\n", toString(collection), gaps);
     addMetric("gauge", "requests_in_flight", m_state.requests.size());
     addMetric("gauge", "targets_known", m_state.targets.all().size());
     addMetric("gauge", "targets_cold",
--- a/tests/adapter/cut_lists_failure_test.cpp
+++ b/tests/adapter/cut_lists_failure_test.cpp
@@ -147,6 +147,30 @@
     EXPECT_TRUE(isReady());
 }
 
+// Guards against a VM that look-ups name and that cannot serve any request, because its list of targets was cut before
+// the first one, and against a cut list that operators can see in the log only.
+TEST_F(CutListFailure, AVmWithoutTargetsAfterACutListIsNotReady)
+{
+    const auto gapsMetric
+        = [](int n) { return "arbutuscrank_collection_list_gaps{collection=\"targets\"} " + std::to_string(n) + '\n'; };
+    server.refusesUnknownNames = true;
+    putNamelessPage("servers");
+    startVm();
+    ASSERT_TRUE(node::test::runUntil(context, [&] { return server.hasWatch("servers") && server.hasWatch("config"); }));
+    const auto answer = get(settings.readinessAddress, std::string(readinessPath));
+    EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+    EXPECT_NE(answer.find("names no target"), std::string::npos) << answer;
+    EXPECT_NE(get(settings.metricsAddress, "/metrics").find(gapsMetric(1)), std::string::npos);
+    server.refusesUnknownNames = false;
+    ASSERT_TRUE(waitForLists());
+    EXPECT_TRUE(isReady());
+    EXPECT_NE(get(settings.metricsAddress, "/metrics").find(gapsMetric(1)), std::string::npos);
+    for (const auto* key : { "a-0", "a-1", "a-2" })
+        server.objects.erase({ "servers", key });
+    ASSERT_TRUE(waitForLists());
+    EXPECT_NE(get(settings.metricsAddress, "/metrics").find(gapsMetric(0)), std::string::npos);
+}
+
 // CONFIG. Guards against withdrawn keys that go on working, because a list that hides a change of the configuration
 // counts as proof that there is none.
 TEST_F(CutListFailure, AListThatHidesTheConfigurationDoesNotConfirmIt)
