--- a/src/node/list_gap_search.cpp
+++ b/src/node/list_gap_search.cpp
@@ -55,7 +55,7 @@
 
 std::string ListGapSearch::nextText() const
 {
-    if (m_found && m_found->page.beginsUnusable)
+    if (m_found && m_found->page.beginsWithUnusableName)
         return {};
     if (!m_candidates.empty())
         return *std::next(m_candidates.begin(), static_cast<std::ptrdiff_t>(m_candidates.size() / 2));
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -39,7 +39,7 @@
     std::uint64_t revision = 0; ///< store revision as of the read
     bool hasMore = false; ///< whether the collection has further objects
     std::string continuation; ///< name after which the next page begins; empty if none of the page can be sent
-    bool beginsUnusable = false; ///< whether no page can begin after the name of the first object
+    bool beginsWithUnusableName = false; ///< whether no page can begin after the name of the first object
     /// Time as of which the store has confirmed the policy, if another VM read the page. It says nothing about the age
     /// of other collections. Without it, the page is confirmed as of the time at which the call was sent.
     std::optional<TimePoint> confirmedAt;
