Simplify how gaps in lists are read and kept

- Whether the policy is hidden was kept in EntryNode and in SharedStore; now only in SharedStore.
- The check whether a page leads on stood in PagedListing and in ListGapSearch; StoreListing has it now.
A gap is recorded where it begins, so that its start need not be kept beside the search.
- Complete and incomplete lists of VMs went through registrations in loops of their own; both call storeRecords.
- CollectionReader::watch could list: readOn decides, and watch only watches.
The comment on m_completeRevision was wrong for lists with gaps.
- hidesAllTargets is named areTargetsUnknown, since a table hides nothing.

--- a/include/arbutuscrank/entry/members.hpp
+++ b/include/arbutuscrank/entry/members.hpp
@@ -92,6 +92,8 @@
 private:
     /// \returns whether a VM was added or moved to another region
     bool storeRecord(const MemberRecord& record, TimePoint now);
+    /// \returns whether \ref storeRecord returned true for one of them
+    bool storeRecords(const std::vector<MemberRecord>& records, TimePoint now);
     void updateRegions();
 
     MemberRecord m_self;
--- a/include/arbutuscrank/entry/targets.hpp
+++ b/include/arbutuscrank/entry/targets.hpp
@@ -228,9 +228,9 @@
 
     /// \brief Whether the list has been read since the start of the process. An incomplete list counts only if a target
     /// is known, since the store may hold targets that it lacks.
-    [[nodiscard]] bool isLoaded() const noexcept { return m_isLoaded && !hidesAllTargets(); }
+    [[nodiscard]] bool isLoaded() const noexcept { return m_isLoaded && !areTargetsUnknown(); }
     /// \brief Whether the newest list was incomplete, and no target is known.
-    [[nodiscard]] bool hidesAllTargets() const noexcept { return m_isListIncomplete && m_targets.empty(); }
+    [[nodiscard]] bool areTargetsUnknown() const noexcept { return m_isListIncomplete && m_targets.empty(); }
 
 private:
     /// A target that was removed.
--- a/src/entry/members.cpp
+++ b/src/entry/members.cpp
@@ -52,6 +52,14 @@
     return changesRegions;
 }
 
+bool MemberTable::storeRecords(const std::vector<MemberRecord>& records, TimePoint now)
+{
+    bool changesRegions = false;
+    for (const auto& record : records)
+        changesRegions = storeRecord(record, now) || changesRegions;
+    return changesRegions;
+}
+
 void MemberTable::updateRegions()
 {
     m_vmHashesByRegion.clear();
@@ -83,24 +91,16 @@
         listed.insert(record.process.vm);
     for (auto& [vm, member] : m_members)
         member.isMissing = !listed.contains(vm);
-    bool changesRegions
+    const bool hasRemoved
         = !keepsMissing && std::erase_if(m_members, [](const auto& item) { return item.second.isMissing; }) != 0;
-    for (const auto& record : records) {
-        if (storeRecord(record, now))
-            changesRegions = true;
-    }
-    if (changesRegions)
+    const bool hasStored = storeRecords(records, now);
+    if (hasRemoved || hasStored)
         updateRegions();
 }
 
 void MemberTable::applyIncompleteList(const std::vector<MemberRecord>& records, TimePoint now)
 {
-    bool changesRegions = false;
-    for (const auto& record : records) {
-        if (storeRecord(record, now))
-            changesRegions = true;
-    }
-    if (changesRegions)
+    if (storeRecords(records, now))
         updateRegions();
 }
 
--- a/src/node/collection_reader.cpp
+++ b/src/node/collection_reader.cpp
@@ -12,6 +12,8 @@
     /// limits cost, because the store charges for each call, also for a refused one.
     constexpr Duration initialBackoff = std::chrono::milliseconds(60);
     constexpr Duration maxBackoff = std::chrono::milliseconds(480);
+    /// Shortest wait of a watch, because stores count it in whole milliseconds.
+    constexpr Duration shortestWait = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -98,7 +100,7 @@
         return;
     }
     m_revision = m_completeRevision;
-    watch();
+    readOn();
 }
 
 void CollectionReader::list()
@@ -125,22 +127,26 @@
             self->m_incompleteSince = listing.isComplete() ? std::nullopt : std::optional(currentTime());
             self->m_handlers.onListed(listing);
             self->m_handlers.onConfirmed(listing.confirmedAt.value_or(sentAt));
-            self->watch();
+            self->readOn();
         });
 }
 
-void CollectionReader::watch()
+void CollectionReader::readOn()
 {
-    const auto sentAt = currentTime();
-    auto wait = m_timing.wait;
-    if (m_incompleteSince) {
-        const auto untilList = *m_incompleteSince + m_timing.incompleteListLifetime - sentAt;
-        if (untilList <= Duration::zero()) {
-            list();
-            return;
-        }
-        wait = std::min(wait, std::max<Duration>(untilList, std::chrono::milliseconds(1)));
+    if (!m_incompleteSince) {
+        watch(m_timing.wait);
+        return;
     }
+    const auto untilList = *m_incompleteSince + m_timing.incompleteListLifetime - currentTime();
+    if (untilList <= Duration::zero())
+        list();
+    else
+        watch(std::min(m_timing.wait, std::max(untilList, shortestWait)));
+}
+
+void CollectionReader::watch(Duration wait)
+{
+    const auto sentAt = currentTime();
     m_watchSentAt = sentAt;
     m_store->watch(m_collection, m_revision, wait,
         [self = shared_from_this(), generation = m_generation, sentAt](Result<StoreChanges> result) {
@@ -160,18 +166,18 @@
             }
             self->m_handlers.onConfirmed(result.value().confirmedAt.value_or(sentAt));
             if (result.value().changes.empty())
-                self->watch();
+                self->readOn();
             else
-                self->watchAfterPause();
+                self->readOnAfterPause();
         });
 }
 
-void CollectionReader::watchAfterPause()
+void CollectionReader::readOnAfterPause()
 {
     m_timer.expires_after(m_timing.pause);
     m_timer.async_wait([self = shared_from_this(), generation = m_generation](SystemError ec) {
         if (!ec && generation == self->m_generation)
-            self->watch();
+            self->readOn();
     });
 }
 
--- a/src/node/collection_reader.hpp
+++ b/src/node/collection_reader.hpp
@@ -86,8 +86,9 @@
     void list();
     void listOrWatch();
     /// Sends a watch, or lists the collection again if its incomplete list has become too old.
-    void watch();
-    void watchAfterPause();
+    void readOn();
+    void readOnAfterPause();
+    void watch(Duration wait);
     void handleFailure(const Error& error);
     /// Records a whole list, unless it lacks a change that an earlier read contained. Returns whether it was recorded.
     [[nodiscard]] bool recordListing(const StoreListing& listing);
@@ -100,7 +101,8 @@
     WatchTiming m_timing;
     Handlers m_handlers;
     std::uint64_t m_revision = 0;
-    std::uint64_t m_completeRevision = 0; ///< revision of the newest complete read; 0 before the first list
+    /// Revision of the newest list or answered watch, also of a list with gaps; 0 before the first list
+    std::uint64_t m_completeRevision = 0;
     std::set<std::string> m_names; ///< of the objects that the collection holds
     std::uint64_t m_lastChange = 0; ///< revision that a read must have to contain all changes reported so far
     std::uint64_t m_generation = 0; ///< changes with each restart, so that answers to earlier calls are ignored
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -462,8 +462,8 @@
     if (isReady(m_state))
         return makeAnswer(http::status::ok, "ready\n", "text/plain");
     return makeAnswer(http::status::service_unavailable,
-        m_state.targets.hidesAllTargets() ? "not ready: the list of targets has a gap and names no target\n"
-                                          : "not ready\n",
+        m_state.targets.areTargetsUnknown() ? "not ready: the list of targets has a gap and names no target\n"
+                                            : "not ready\n",
         "text/plain");
 }
 
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -87,7 +87,6 @@
     void removeMemberObject(const std::string& name);
     /// \returns whether the object holds a policy that can be read
     bool applyPolicyObject(const StoreObject& object);
-    void setPolicyHidden(bool isHidden);
     [[nodiscard]] std::vector<entry::TargetRecord> decodeTargets(const std::vector<StoreObject>& objects);
     void handleReadFailure(Collection collection, const Error& error);
     void handleFeedFailure(Collection collection, const Error& error);
@@ -165,8 +164,6 @@
     std::uint64_t m_crowdedConnections = 0; ///< callers' connections closed for another socket
     std::uint64_t m_crowdedRequests = 0; ///< requests refused because no socket was left for them
     std::map<CloseCause, std::uint64_t> m_connectionCuts; ///< connections closed with data outstanding, by cause
-    /// The newest list of the policy was incomplete and lacked it, so that a change of it may be hidden
-    bool m_isPolicyHidden = false;
     std::map<Collection, std::size_t> m_listGaps; ///< number of gaps of the newest list
     std::map<Collection, TimePoint> m_readConfirmedAt; ///< time as of which the newest read is confirmed
 };
--- a/src/node/entry_node_store.cpp
+++ b/src/node/entry_node_store.cpp
@@ -81,7 +81,8 @@
                 m_readConfirmedAt[collection] = sentAt;
                 dispatch(entry::StoreAnswered {
                     .isDirect = m_store->source().empty(), .confirmsPolicy = collection == Collection::Policy });
-                if (collection == Collection::Policy && m_state.policy.policy().version != 0 && !m_isPolicyHidden)
+                if (collection == Collection::Policy && m_state.policy.policy().version != 0
+                    && !m_store->isPolicyHidden())
                     dispatch(entry::PolicyConfirmed { sentAt });
                 if (collection == Collection::Policy && m_mustListAfterFailure)
                     listAfterFailure();
@@ -152,12 +153,6 @@
     updateStoreSource();
 }
 
-void EntryNode::setPolicyHidden(bool isHidden)
-{
-    m_isPolicyHidden = isHidden;
-    m_store->setPolicyHidden(isHidden);
-}
-
 bool EntryNode::applyPolicyObject(const StoreObject& object)
 {
     auto policy = m_platform.decoder->decodePolicy(object);
@@ -195,7 +190,7 @@
         bool isShown = false;
         for (const auto& object : objects)
             isShown = applyPolicyObject(object) || isShown;
-        setPolicyHidden(!isShown && !listing.isComplete());
+        m_store->setPolicyHidden(!isShown && !listing.isComplete());
         return;
     }
     case Collection::Targets:
@@ -215,7 +210,8 @@
             m_memberRevisions.clear();
             m_evacuationRecords.clear();
         }
-        const bool isKnownMember = m_memberRevisions.contains(m_state.settings.vm);
+        // An incomplete list may lack a registration of this VM that is known.
+        const bool isRegistrationKnown = m_memberRevisions.contains(m_state.settings.vm);
         for (const auto& object : objects) {
             m_memberRevisions[object.name] = object.revision;
             if (auto failureDomain = recordedEvacuation(object)) {
@@ -231,7 +227,7 @@
         }
         dispatch(entry::MembersListed { std::move(records), listing.isComplete() });
         dispatch(entry::EvacuationRecordsChanged { m_evacuationRecords });
-        if (self || !isKnownMember)
+        if (self || !isRegistrationKnown)
             registerSelf(self);
         if (!m_hasStartedReaders)
             updateStoreSource();
@@ -246,7 +242,7 @@
     switch (collection) {
     case Collection::Policy:
         if (!change.isDeleted && applyPolicyObject(object))
-            setPolicyHidden(false);
+            m_store->setPolicyHidden(false);
         return;
     case Collection::Targets:
         // An entry that can no longer be read names no target, as in a list.
@@ -334,7 +330,7 @@
         if (result)
             return;
         log(LogEvent::StoreCallFailed, fmt::format("collection=members {}", describe(result.error())));
-        // The registration exists where the list does not show it, and the next one would not show it either.
+        // The registration exists in a gap of the list of VMs, and a new list would not show it either.
         if (result.error().code == ErrorCode::Conflict && m_listGaps[Collection::Members] != 0)
             return;
         // The write may have taken effect, or another run of this VM may have registered first. A new list shows which.
--- a/src/node/list_gap_search.cpp
+++ b/src/node/list_gap_search.cpp
@@ -23,8 +23,6 @@
 
     constexpr int placesEnd = lastPrintable - firstPrintable + 2;
 
-    bool leadsOn(const StoreListing& page) noexcept { return !page.hasMore || !page.continuation.empty(); }
-
 } // namespace
 
 std::string textBetween(std::string_view lower, std::optional<std::string_view> upper)
@@ -64,11 +62,12 @@
 
 void ListGapSearch::recordPage(const std::string& after, StoreListing page)
 {
-    if (leadsOn(page)) {
-        const auto named = std::ranges::find_if(page.objects, [](const auto& it) { return !it.name.empty(); });
-        const auto firstName = named == page.objects.end() ? std::string() : named->name;
+    if (page.leadsOn()) {
         m_found = Found { after, std::move(page) };
-        addCandidates(firstName);
+        const auto& objects = m_found->page.objects;
+        const auto named = std::ranges::find_if(objects, [](const auto& it) { return !it.name.empty(); });
+        if (named != objects.end())
+            addCandidates(named->name);
     } else {
         m_lowerEnd = after;
     }
--- a/src/node/object_store.hpp
+++ b/src/node/object_store.hpp
@@ -46,6 +46,9 @@
     StoreEra era = 0; ///< of the answer; 0 if it names none
     std::vector<ListGap> gaps {}; ///< of a whole collection that could not be read to its end
 
+    /// \brief Whether a page is the last one, or names where the next one begins.
+    [[nodiscard]] bool leadsOn() const noexcept { return !hasMore || !continuation.empty(); }
+
     /// \brief Whether the collection holds no other objects. An object that an incomplete list lacks may still exist.
     [[nodiscard]] bool isComplete() const noexcept { return gaps.empty(); }
 };
--- a/src/node/paged_listing.cpp
+++ b/src/node/paged_listing.cpp
@@ -36,12 +36,11 @@
         m_listing.revision = page.revision;
         m_listing.era = page.era;
     }
-    const bool isStuck = page.hasMore && page.continuation.empty();
-    if (isStuck)
+    if (!page.leadsOn())
         m_search.emplace(after, page);
     std::ranges::move(page.objects, std::back_inserter(m_listing.objects));
-    if (isStuck) {
-        m_gapStart = after;
+    if (m_search) {
+        m_listing.gaps.push_back({ after, {} });
         continueSearch();
     } else if (!page.hasMore) {
         finish();
@@ -68,11 +67,12 @@
 {
     auto found = m_search->takeFound();
     m_search.reset();
-    m_listing.gaps.push_back({ m_gapStart, found ? found->after : std::string() });
-    if (found)
-        addPage(found->after, std::move(found->page));
-    else
+    if (!found) {
         finish();
+        return;
+    }
+    m_listing.gaps.back().until = found->after;
+    addPage(found->after, std::move(found->page));
 }
 
 void PagedListing::finish() { m_done(std::move(m_listing)); }
--- a/src/node/paged_listing.hpp
+++ b/src/node/paged_listing.hpp
@@ -51,8 +51,7 @@
     ObjectStore::Handler<StoreListing> m_done;
     StoreListing m_listing;
     std::set<std::string> m_continuations; ///< names after which the list was continued
-    std::string m_gapStart; ///< text after which the page begins that led to \ref m_search
-    std::optional<ListGapSearch> m_search; ///< set while a search is in progress
+    std::optional<ListGapSearch> m_search; ///< set while the end of the newest gap is searched for
     int m_searchedPages = 0;
     bool m_hasPage = false;
 };
--- a/src/node/shared_store.cpp
+++ b/src/node/shared_store.cpp
@@ -241,7 +241,7 @@
             if (listing && m_source.empty() && isCurrent(listing.value().era, sentInEra)) {
                 recordConfirmation(collection, sentAt);
                 m_caches[collection].applyListing(listing.value());
-                m_encodedListings.erase(collection);
+                m_encodedListings.erase(collection); // a list as of the same revision may have other gaps
                 answerWaiters(collection);
             }
             deliver(std::move(listing), sentInEra, done);
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -41,6 +41,7 @@
     /// \brief Sets whether reads of the policy confirm it. They do not while the newest list was incomplete and lacked
     /// the policy, because a change of it may be hidden. The feed is not served then.
     void setPolicyHidden(bool isHidden);
+    [[nodiscard]] bool isPolicyHidden() const noexcept { return m_isPolicyHidden; }
 
     /// \brief Greatest era of the store that is known; 0 if none is.
     [[nodiscard]] StoreEra era() const noexcept { return m_era; }
--- a/tests/adapter/cut_lists_failure_test.cpp
+++ b/tests/adapter/cut_lists_failure_test.cpp
@@ -4,14 +4,11 @@
 #include "wire_names.hpp"
 
 #include "node/entry_node.hpp"
-#include "node/list_gap_search.hpp"
-#include "node/paged_listing.hpp"
 
 #include <gtest/gtest.h>
 
 #include <boost/asio/read.hpp>
 
-#include <array>
 #include <optional>
 #include <set>
 #include <thread>
@@ -209,36 +206,4 @@
 INSTANTIATE_TEST_SUITE_P(CutListFailure, NamelessPages,
     testing::Values(Names { "a-" }, Names { "t-!" }, Names { "t-03x" }, Names { "t-0!", "t-05x" }));
 
-// Guards against targets that VMs miss although the store shows them, and against a search that does not end.
-TEST(ListGapSearch, FindsTheLeastTextThatLeadsOn)
-{
-    const std::vector<std::string> boundaries { "a", "t-0", "upstrea", "~~~", "t-\xc3\xa4x", "B", "0" };
-    for (const auto& boundary : boundaries) {
-        node::ListGapSearch search({}, {});
-        for (int i = 0; i < node::PagedListing::maxSearchedPages; ++i) {
-            const auto text = search.nextText();
-            if (text.empty())
-                break;
-            node::StoreListing page { .objects = { { .name = boundary + "-1" } } };
-            page.hasMore = text < boundary;
-            search.recordPage(text, page);
-        }
-        const auto found = search.takeFound();
-        ASSERT_TRUE(found) << boundary;
-        EXPECT_GE(found->after, boundary);
-        EXPECT_LT(found->after, boundary + "~") << boundary;
-    }
-}
-
-// Guards against a search that asks for the same page for ever.
-TEST(ListGapSearch, TextsAreBetweenTheOthers)
-{
-    EXPECT_EQ(node::textBetween("", std::nullopt), "O");
-    EXPECT_EQ(node::textBetween("t-01", "t-03"), "t-02");
-    EXPECT_EQ(node::textBetween("a", "b"), "aO");
-    EXPECT_EQ(node::textBetween("a~", "b"), "a~O");
-    EXPECT_EQ(node::textBetween("a", "a "), "");
-    EXPECT_EQ(node::textBetween("a\xc3\xa4", "b"), "a\xc3\xa4O");
-}
-
 } // namespace arbutuscrank::platform
