Read targets' answers with a parser that cannot throw for long fields

What callers saw: an answer of one faulty target with a trailer field of 70,000 bytes ended the process that read it.

Cause: the fields of Boost.Beast hold names and values of at most 65,533 bytes and throw std::length_error for longer ones. The parser inserts each field as it reads it, the read runs in the event loop, and nothing limited the fields behind the last chunk but the read buffer of 128 KiB.

Change: MessageParser overrides the one place where a field is inserted, checks the lengths first, and ends the message with an error code. It also limits the trailer to the 8 KiB of a head. The attempt fails with unknown outcome, its connection is closed, the log names target and cause, and a counter says how many answers could not be read.

Evidence: OddTargetAnswersFailure.LongPartsEndOnlyTheAttempt sends names, values, trailers, chunk extensions and reason phrases of 65,533, 65,534, 65,535 and 70,000 bytes. With the check of MessageParser taken back, it and TrailersHaveTheLimitOfAHead fail (std::length_error leaves the event loop).

Why it works: every field of head and trailer passes the check before the library can throw, whatever read it arrives with.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -534,6 +534,9 @@
     addMetric("gauge", "store_era", m_state.storeEra.current);
     addMetric("counter", "store_era_rises_total", m_state.storeEra.rises);
     addMetric("counter", "target_connections_opened_total", m_targetConnections.connectionsOpened());
+    text += "# TYPE arbutuscrank_unreadable_messages_total counter\n";
+    text += fmt::format(
+        "arbutuscrank_unreadable_messages_total{{from=\"target\"}} {}\n", m_targetConnections.unreadableAnswers());
     addMetric("gauge", "answer_memory_bytes", m_answerMemory.bytes());
     addMetric("counter", "answers_released_total", m_answerMemory.releasedAnswers());
     addMetric("gauge", "caller_memory_bytes", m_callerMemory.bytes());
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    /// Limits on the head of an answer, and on the fields behind its body.
+    constexpr std::uint32_t maxAnswerHeadBytes = 8U << 10U;
+    constexpr std::size_t maxAnswerTrailerBytes = 8U << 10U;
     /// Limit on the body of an answer that is passed on to a caller.
     constexpr std::uint64_t maxAnswerBytes = 32U << 20U;
     /// A connection whose target acknowledges no data for this time counts as broken.
@@ -202,6 +205,8 @@
 void TargetAttempt::readAnswer()
 {
     m_parser.emplace();
+    m_parser->header_limit(maxAnswerHeadBytes);
+    m_parser->setTrailerLimit(maxAnswerTrailerBytes);
     m_parser->body_limit(maxAnswerBytes);
     countAnswerMemory();
     if (!m_hasEnded)
@@ -217,16 +222,19 @@
             return;
         if (ec) {
             const auto unread = self->m_buffer.data();
-            self->fail(entry::AttemptProgress::Sent,
-                ec == http::error::bad_status
-                    ? describeUnreadableStatus({ static_cast<const char*>(unread.data()), unread.size() })
-                    : "answer: " + ec.message());
+            if (ec == http::error::bad_status)
+                self->failUnreadable(
+                    describeUnreadableStatus({ static_cast<const char*>(unread.data()), unread.size() }));
+            else if (isDisconnect(ec))
+                self->fail(entry::AttemptProgress::Sent, "answer: " + ec.message());
+            else
+                self->failUnreadable("answer: " + ec.message());
             return;
         }
         // The rest of such an answer, which may never come, is not waited for.
         if (self->m_parser->is_header_done()) {
             if (auto detail = describeRefusedStatus(self->m_parser->get().result_int()); !detail.empty()) {
-                self->fail(entry::AttemptProgress::Sent, std::move(detail));
+                self->failUnreadable(std::move(detail));
                 return;
             }
         }
@@ -320,6 +328,13 @@
     finish(std::move(result));
 }
 
+void TargetAttempt::failUnreadable(std::string detail)
+{
+    if (!m_hasEnded)
+        ++m_owner.m_unreadableAnswers;
+    fail(entry::AttemptProgress::Sent, std::move(detail));
+}
+
 void TargetAttempt::finish(AttemptResult result)
 {
     if (std::exchange(m_hasEnded, true))
--- a/src/node/target_attempt.hpp
+++ b/src/node/target_attempt.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/message_parser.hpp"
 #include "node/target_connections.hpp"
 
 /// \file
@@ -24,6 +25,7 @@
     /// Counts the memory allocated for the answer. The attempt fails if that releases its answer.
     void countAnswerMemory();
     void handleAnswer();
+    void failUnreadable(std::string detail);
     void fail(entry::AttemptProgress progress, std::string detail);
     void finish(AttemptResult result);
     [[nodiscard]] bool isAnswerToThisRequest() const;
@@ -37,7 +39,7 @@
     std::shared_ptr<Tcp::socket> m_socket;
     asio::steady_timer m_connectTimer;
     boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<MessageParser<false, http::string_body>> m_parser;
     bool m_isConnectionReused = false; ///< whether the connection has carried an earlier request
     bool m_hasConnectSucceeded = false; ///< whether a new connection was opened; stays false on an idle connection
     bool m_hasSentRequest = false; ///< whether the whole request is written
--- a/src/node/target_connections.hpp
+++ b/src/node/target_connections.hpp
@@ -62,6 +62,8 @@
     [[nodiscard]] std::size_t openConnections() const noexcept { return m_attempts.size() + m_idleCount; }
 
     [[nodiscard]] std::uint64_t connectionsOpened() const noexcept { return m_connectionsOpened; }
+    /// \brief Number of answers that could not be read. Each has ended its attempt and its connection.
+    [[nodiscard]] std::uint64_t unreadableAnswers() const noexcept { return m_unreadableAnswers; }
 
 private:
     friend class TargetAttempt;
@@ -84,6 +86,7 @@
         m_idleConnections; ///< by target; the most recently used one is last
     std::size_t m_idleCount = 0; ///< of \ref m_idleConnections
     std::uint64_t m_connectionsOpened = 0;
+    std::uint64_t m_unreadableAnswers = 0;
 };
 
 } // namespace arbutuscrank::node
