Refuse callers' requests with fields that are too long, and limit trailers

What callers saw: a chunked request with a trailer field of 70,000 bytes, without key or route, ended the process that read it.

Cause: the session read requests with the parser of Boost.Beast, whose fields throw for names and values of 65,534 bytes or more. maxHeaderBytes limits the head only; a trailer could fill the read buffer. The number of fields was checked in the head only, too.

Change: requests are read with MessageParser. Fields that are too long, trailers over maxHeaderBytes and too many fields in head and trailer are answered 431 in the order of the requests, then the connection closes. The log names the limit, and a counter counts unreadable requests. Trailer fields count to the caller's memory. Parts that overflow the read buffer, which are chunk extensions and trailers, get 431 in place of 413.

Evidence: three of the four tests OddCallerRequestsFailure fail with the checks of MessageParser taken back: LongPartsEndOnlyTheirConnection and TheRequestBeforeAnOddOneIsAnswered with std::length_error, and TrailersHaveTheLimitsOfAHead with 200 for both refused trailers. The fourth guards what held.

Why it works: the session handles the error like any other of a request that cannot be read, so that it reaches no other connection.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -48,15 +48,6 @@
         return ::poll(&state, 1, 0) > 0 ? state.revents : short { 0 };
     }
 
-    http::status statusForReadError(SystemError ec)
-    {
-        if (ec == http::error::header_limit)
-            return http::status::request_header_fields_too_large;
-        if (ec == http::error::body_limit || ec == http::error::buffer_overflow)
-            return http::status::payload_too_large;
-        return http::status::bad_request;
-    }
-
 } // namespace
 
 std::string_view toString(CloseCause cause) noexcept
@@ -136,8 +127,10 @@
     const auto& limits = m_handlers.limits();
     m_parser.emplace();
     m_parser->header_limit(limits.maxHeaderBytes);
+    m_parser->setTrailerLimit(limits.maxHeaderBytes);
+    m_parser->setFieldLimit(limits.maxHeaderFields);
     m_parser->body_limit(limits.maxBodyBytes);
-    m_headBytes = 0;
+    m_fieldBytes = 0;
     m_isBodyDiscarded = false;
     m_buffer.max_size(std::max<std::size_t>(m_buffer.size(), limits.maxHeaderBytes + maxUnparsedBytes));
     if (m_buffer.size() != 0) {
@@ -225,9 +218,7 @@
 
 void CallerSession::handleReadError(SystemError ec)
 {
-    const bool hasDisconnected = ec == http::error::end_of_stream || ec == http::error::partial_message
-        || ec == asio::error::eof || ec.category() == asio::error::get_system_category();
-    if (hasDisconnected) {
+    if (isDisconnect(ec)) {
         closeAndReportUnanswered();
         return;
     }
--- a/src/node/caller_session.hpp
+++ b/src/node/caller_session.hpp
@@ -2,6 +2,7 @@
 
 #include "node/answer_memory.hpp"
 #include "node/caller_memory.hpp"
+#include "node/message_parser.hpp"
 #include "node/network.hpp"
 #include "node/object_store.hpp"
 #include "node/request_body.hpp"
@@ -155,8 +156,8 @@
     std::size_t receive(SystemError& ec);
     /// Passes bytes to the parser. \returns the number of bytes that it has taken
     std::size_t parse(asio::const_buffer bytes, SystemError& ec);
-    /// Counts the fields of the head, and fails if there are too many.
-    void checkFields(SystemError& ec);
+    /// Counts the memory of the fields that the parser holds.
+    void countFields();
     void handleHead();
     void countMemory();
     void freeEmptyBuffer();
@@ -197,9 +198,9 @@
     asio::steady_timer m_closeTimer;
     const CallerHandlers& m_handlers;
     boost::beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<RequestBody>> m_parser;
+    std::optional<MessageParser<true, RequestBody>> m_parser;
     CallerMemory::Holder m_memory;
-    std::size_t m_headBytes = 0; ///< memory of the parsed head of the request that is being read
+    std::size_t m_fieldBytes = 0; ///< memory of the parsed fields of the request that is being read
     bool m_isBodyDiscarded = false; ///< of the request that is being read
     std::uint64_t m_readGeneration = 0; ///< number of requests whose reading has ended
     TimePoint m_movedAt {};
--- a/src/node/caller_session_reading.cpp
+++ b/src/node/caller_session_reading.cpp
@@ -16,7 +16,7 @@
     constexpr std::size_t receiveBytes = 64U << 10U;
     /// Receives on one connection before the event loop turns to the others.
     constexpr int receivesPerTurn = 4;
-    /// Memory of the HTTP library for each field of a head, besides its text.
+    /// Memory of the HTTP library for each field, besides its text.
     constexpr std::size_t fieldBytes = 96;
     /// Time after which a caller may send a request again that was refused because of the memory.
     constexpr const char* memoryRetryAfter = "1";
@@ -109,8 +109,8 @@
     while (!m_parser->is_done() && bytes.size() != 0) {
         const bool wasHeadRead = m_parser->is_header_done();
         bytes += m_parser->put(bytes, ec);
-        if (!wasHeadRead && (!ec || ec == http::error::need_more))
-            checkFields(ec);
+        if (!wasHeadRead || m_parser->is_done()) // the trailer is parsed at the end
+            countFields();
         if (!ec && !wasHeadRead && m_parser->is_header_done())
             handleHead();
         if (ec)
@@ -119,17 +119,12 @@
     return total - bytes.size();
 }
 
-void CallerSession::checkFields(SystemError& ec)
+void CallerSession::countFields()
 {
     // The parser adds fields before the head is whole.
-    std::size_t fields = 0;
-    m_headBytes = 0;
-    for (const auto& it : m_parser->get()) {
-        ++fields;
-        m_headBytes += fieldBytes + it.name_string().size() + it.value().size();
-    }
-    if (fields > m_handlers.limits().maxHeaderFields)
-        ec = http::error::header_limit;
+    m_fieldBytes = 0;
+    for (const auto& it : m_parser->get())
+        m_fieldBytes += fieldBytes + it.name_string().size() + it.value().size();
 }
 
 void CallerSession::handleHead()
@@ -148,7 +143,7 @@
 void CallerSession::countMemory()
 {
     m_movedAt = currentTime();
-    m_memory.setReceived(m_buffer.capacity() + m_headBytes + m_parser->get().body().allocatedBytes(), m_movedAt);
+    m_memory.setReceived(m_buffer.capacity() + m_fieldBytes + m_parser->get().body().allocatedBytes(), m_movedAt);
 }
 
 void CallerSession::dropRequest()
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -145,6 +145,7 @@
         .isStopping = [this] { return m_state.stopRequestedAt.has_value(); },
         .logUnreadableRequest =
             [this](const std::string& detail) {
+                ++m_unreadableRequests;
                 log(LogEvent::RequestRefused, fmt::format("request= reason=unreadable detail=\"{}\"", detail));
             },
         .logConnectionDropped =
@@ -535,6 +536,7 @@
     addMetric("counter", "store_era_rises_total", m_state.storeEra.rises);
     addMetric("counter", "target_connections_opened_total", m_targetConnections.connectionsOpened());
     text += "# TYPE arbutuscrank_unreadable_messages_total counter\n";
+    text += fmt::format("arbutuscrank_unreadable_messages_total{{from=\"caller\"}} {}\n", m_unreadableRequests);
     text += fmt::format(
         "arbutuscrank_unreadable_messages_total{{from=\"target\"}} {}\n", m_targetConnections.unreadableAnswers());
     addMetric("gauge", "answer_memory_bytes", m_answerMemory.bytes());
