Answer unreadable requests for readiness, look-ups, metrics and the feed

What callers saw: nothing reported. A look-up, readiness check, reader of metrics or VM whose request cannot be read got a closed or reset connection without an answer, and nothing was logged or counted.

Cause: HttpGetServer dropped its session on any error of a read. Its read buffer of 16 KiB overflows before a field is too long for the HTTP library, so that no process ended.

Change: it reads with MessageParser and answers 431, 413 or 400 with Connection: close, logs the cause and counts it. It then drops further bytes for up to 1 s, since a close with unread bytes resets the connection.

Why it works: every end of a read that is not the peer's own goes through the refusal.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -163,6 +163,17 @@
             },
         .memory = &m_callerMemory,
     };
+    const auto makeUnreadableHandler = [this](std::string_view listener) {
+        return [this, listener](const std::string& detail) {
+            ++m_unreadableGetRequests;
+            log(LogEvent::RequestRefused,
+                fmt::format("request= reason=unreadable listener={} detail=\"{}\"", listener, detail));
+        };
+    };
+    m_lookupServer.setUnreadableHandler(makeUnreadableHandler("look-ups"));
+    m_readinessServer.setUnreadableHandler(makeUnreadableHandler("readiness"));
+    m_inspectionServer.setUnreadableHandler(makeUnreadableHandler("metrics"));
+    m_store->setUnreadableHandler(makeUnreadableHandler("feed"));
     m_lookupServer.setMaxConnections(lookupSockets(settings.maxSockets));
     m_readinessServer.setMaxConnections(inspectionSockets(settings.maxSockets));
     m_inspectionServer.setMaxConnections(inspectionSockets(settings.maxSockets));
@@ -537,6 +548,7 @@
     addMetric("counter", "target_connections_opened_total", m_targetConnections.connectionsOpened());
     text += "# TYPE arbutuscrank_unreadable_messages_total counter\n";
     text += fmt::format("arbutuscrank_unreadable_messages_total{{from=\"caller\"}} {}\n", m_unreadableRequests);
+    text += fmt::format("arbutuscrank_unreadable_messages_total{{from=\"get\"}} {}\n", m_unreadableGetRequests);
     text += fmt::format(
         "arbutuscrank_unreadable_messages_total{{from=\"target\"}} {}\n", m_targetConnections.unreadableAnswers());
     addMetric("gauge", "answer_memory_bytes", m_answerMemory.bytes());
--- a/src/node/entry_node.hpp
+++ b/src/node/entry_node.hpp
@@ -163,6 +163,7 @@
     std::uint64_t m_failedStoreCalls = 0;
     std::uint64_t m_crowdedConnections = 0; ///< callers' connections closed for another socket
     std::uint64_t m_unreadableRequests = 0; ///< of callers
+    std::uint64_t m_unreadableGetRequests = 0; ///< for readiness, look-ups, metrics and the feed
     std::uint64_t m_crowdedRequests = 0; ///< requests refused because no socket was left for them
     std::map<CloseCause, std::uint64_t> m_connectionCuts; ///< connections closed with data outstanding, by cause
     std::map<Collection, std::size_t> m_listGaps; ///< number of gaps of the newest list
--- a/src/node/http_get_server.cpp
+++ b/src/node/http_get_server.cpp
@@ -1,6 +1,7 @@
 #include "node/http_get_server.hpp"
 
 #include "node/clock.hpp"
+#include "node/message_parser.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/buffer_traits.hpp>
@@ -21,6 +22,11 @@
     constexpr std::size_t maxUnparsedRequestBytes = 16U << 10U;
     /// Limit on the body of a request, which is not used.
     constexpr std::uint64_t maxIgnoredBodyBytes = 64U << 10U;
+    /// Time in which a peer whose request could not be read may take the answer and close the connection.
+    constexpr Duration refusalTimeout = std::chrono::seconds(1);
+    /// Bytes of such a peer that are read and dropped at a time, and in all.
+    constexpr std::size_t discardBytes = 4U << 10U;
+    constexpr std::size_t maxDiscardedBytes = 1U << 20U;
 
     /// Body that is dropped as it arrives.
     struct IgnoredBody {
@@ -46,10 +52,10 @@
 
 class HttpGetServer::Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(Tcp::socket socket, std::shared_ptr<HttpGetServer::AsyncHandler> handler, bool limitsWriteTime)
+    Session(Tcp::socket socket, std::shared_ptr<HttpGetServer::Handlers> handlers, bool limitsWriteTime)
         : m_socket(std::move(socket))
         , m_timer(m_socket.get_executor())
-        , m_handler(std::move(handler))
+        , m_handlers(std::move(handlers))
         , m_limitsWriteTime(limitsWriteTime)
     {
         setSocketOptions(m_socket, peerAckTimeout);
@@ -61,12 +67,14 @@
         m_readSince = currentTime();
         m_parser.emplace();
         m_parser->body_limit(maxIgnoredBodyBytes);
-        startTimer();
+        startTimer(idleTimeout);
         http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](SystemError ec, std::size_t) {
             self->m_timer.cancel();
             self->m_isReading = false;
             if (!ec)
                 self->handle();
+            else if (!isDisconnect(ec))
+                self->refuse(ec);
         });
     }
 
@@ -81,9 +89,9 @@
     [[nodiscard]] TimePoint readSince() const noexcept { return m_readSince; }
 
 private:
-    void startTimer()
+    void startTimer(Duration timeout)
     {
-        m_timer.expires_after(idleTimeout);
+        m_timer.expires_after(timeout);
         m_timer.async_wait([weak = weak_from_this()](SystemError ec) {
             if (const auto self = weak.lock(); self && !ec)
                 self->close();
@@ -100,20 +108,52 @@
             return;
         }
         const std::string_view target(request.target().data(), request.target().size());
-        (*m_handler)(
+        m_handlers->onRequest(
             target, [self = shared_from_this()](HttpGetServer::Answer answer) { self->write(std::move(answer)); });
     }
 
+    void refuse(SystemError ec)
+    {
+        m_keepsAlive = false;
+        m_isRefused = true;
+        if (m_handlers->onUnreadable)
+            m_handlers->onUnreadable(ec.message());
+        write(makeAnswer(statusForReadError(ec), {}, "text/plain"));
+    }
+
+    /// Drops what the peer sends until it closes the connection. A close with unread bytes would reset the connection,
+    /// and the peer could lose the answer.
+    void discardInput()
+    {
+        m_buffer.clear();
+        m_socket.async_read_some(
+            m_buffer.prepare(discardBytes), [self = shared_from_this()](SystemError ec, std::size_t n) {
+                self->m_discardedBytes += n;
+                if (!ec && self->m_discardedBytes < maxDiscardedBytes)
+                    self->discardInput();
+                else
+                    self->close();
+            });
+    }
+
     void write(HttpGetServer::Answer answer)
     {
         m_answer = std::move(answer);
         m_answer.keep_alive(m_keepsAlive);
         m_answer.prepare_payload();
-        if (m_limitsWriteTime)
-            startTimer();
+        if (m_isRefused)
+            startTimer(refusalTimeout);
+        else if (m_limitsWriteTime)
+            startTimer(idleTimeout);
         http::async_write(m_socket, m_answer, [self = shared_from_this()](SystemError ec, std::size_t) {
-            self->m_timer.cancel();
             self->m_answer = {};
+            if (!ec && self->m_isRefused) {
+                SystemError ignored; // the peer may have closed already
+                self->m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+                self->discardInput(); // within the time limit of the refusal
+                return;
+            }
+            self->m_timer.cancel();
             if (!ec && self->m_keepsAlive && self->isOpen())
                 self->read();
         });
@@ -121,11 +161,13 @@
 
     Tcp::socket m_socket;
     asio::steady_timer m_timer;
-    std::shared_ptr<HttpGetServer::AsyncHandler> m_handler;
+    std::shared_ptr<HttpGetServer::Handlers> m_handlers;
     bool m_limitsWriteTime;
     boost::beast::flat_buffer m_buffer { maxUnparsedRequestBytes };
-    std::optional<http::request_parser<IgnoredBody>> m_parser;
+    std::optional<MessageParser<true, IgnoredBody>> m_parser;
     bool m_keepsAlive = false;
+    bool m_isRefused = false; ///< the request could not be read
+    std::size_t m_discardedBytes = 0; ///< read after the refusal
     bool m_isReading = false;
     TimePoint m_readSince {};
     HttpGetServer::Answer m_answer;
@@ -148,7 +190,7 @@
 
 HttpGetServer::HttpGetServer(asio::io_context& context, AsyncHandler handler)
     : m_context(context)
-    , m_handler(std::make_shared<AsyncHandler>(std::move(handler)))
+    , m_handlers(std::make_shared<Handlers>(Handlers { .onRequest = std::move(handler), .onUnreadable = {} }))
 {
 }
 
@@ -194,7 +236,7 @@
         if (ec == asio::error::operation_aborted)
             return;
         if (!ec) {
-            const auto session = std::make_shared<Session>(std::move(socket), m_handler, m_maxConnections != 0);
+            const auto session = std::make_shared<Session>(std::move(socket), m_handlers, m_maxConnections != 0);
             if (m_maxConnections != 0) {
                 makeRoom();
                 m_sessions.push_back(session);
--- a/src/node/http_get_server.hpp
+++ b/src/node/http_get_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/http_fields.hpp"
 #include "node/network.hpp"
 
 #include <boost/beast/http.hpp>
@@ -38,6 +39,13 @@
     /// first among those that read a request, then among those whose answer is not taken.
     void setMaxConnections(std::size_t n) { m_maxConnections = n; }
 
+    /// \brief Sets the handler that gets the reason for each request that could not be read. Such a request is answered
+    /// with the status of \ref statusForReadError, and its connection closes.
+    void setUnreadableHandler(std::function<void(const std::string& detail)> handler)
+    {
+        m_handlers->onUnreadable = std::move(handler);
+    }
+
     /// \brief Number of connections that were closed because of the limit.
     [[nodiscard]] std::uint64_t closedConnections() const noexcept { return m_closedConnections; }
 
@@ -47,11 +55,17 @@
     class Session;
 
 private:
+    /// Shared with the sessions, which may outlive the server.
+    struct Handlers {
+        AsyncHandler onRequest;
+        std::function<void(const std::string& detail)> onUnreadable; ///< may be empty
+    };
+
     void accept();
     void makeRoom();
 
     asio::io_context& m_context;
-    std::shared_ptr<AsyncHandler> m_handler;
+    std::shared_ptr<Handlers> m_handlers;
     std::optional<Tcp::acceptor> m_acceptor;
     std::list<std::weak_ptr<Session>> m_sessions; ///< only if the connections are limited
     std::size_t m_maxConnections = 0; ///< 0 means that they are not limited
--- a/src/node/shared_store.hpp
+++ b/src/node/shared_store.hpp
@@ -31,6 +31,11 @@
     /// \brief Serves the feed on an address.
     [[nodiscard]] Result<void> open(const std::string& address) { return m_server.open(address); }
     void close() { m_server.close(); }
+    /// \copydoc HttpGetServer::setUnreadableHandler
+    void setUnreadableHandler(std::function<void(const std::string& detail)> handler)
+    {
+        m_server.setUnreadableHandler(std::move(handler));
+    }
 
     /// \brief Reports that a read of the platform's store failed. The feed refuses reads until the store confirms the
     /// policy again, and waiting watches fail at once, so that readers of the feed look for another source. The feed
