--- a/tests/adapter/odd_names_failure_test.cpp
+++ b/tests/adapter/odd_names_failure_test.cpp
@@ -4,6 +4,8 @@
 #include "wire_names.hpp"
 
 #include "node/collection_reader.hpp"
+#include "node/http_fields.hpp"
+#include "node/odd_messages.hpp"
 #include "node/paged_listing.hpp"
 #include "node/shared_store.hpp"
 
@@ -245,6 +247,19 @@
         EXPECT_TRUE(decoder.decodeTarget({ .name = name, .body = targetSpec })) << name;
 }
 
+// Fault. Guards against a name that ends the process with the first request to its target, because the HTTP library
+// cannot hold it in a field.
+TEST(OddNameFailure, ANameThatIsTooLongForAFieldNamesNoTarget)
+{
+    const Decoder decoder = makeDecoder();
+    for (const std::size_t length : node::test::oddLengths) {
+        const auto target = decoder.decodeTarget({ .name = std::string(length, 't'), .body = targetSpec });
+        EXPECT_EQ(target.has_value(), length <= node::maxFieldTextBytes) << length;
+        const auto detail = target ? std::string() : target.error().detail;
+        EXPECT_TRUE(target || detail.find("found " + std::to_string(length)) != std::string::npos) << detail;
+    }
+}
+
 // CONFIG. Guards against another writer's entry beside the operators' configuration that takes its place.
 TEST(OddNameFailure, OnlyTheOperatorsEntryIsTheConfiguration)
 {
