Refuse requests of accounts whose names no field can hold

What callers saw: nothing reported. A name with a line end adds fields to the requests that targets get.

Cause: the name is written into a field of each request as it stands in the configuration.

Change: setField writes a value only if it arrives unchanged. If it does not, the attempt ends before a connection is taken, and the request is answered 502 with reason "unsendable" at once. It is not tried elsewhere, no target is charged with a failure, and the quota's token is returned.

Evidence: with the length taken out of the check, NamesThatNoFieldCanHoldAreNotSent fails with std::length_error ("field value too large"); with the branch of the reducer taken back, UnsendableRequestIsRefusedAtOnceAndCostsNothingElse fails (a second attempt is sent). Both pass with the change.

Why it works: the request is built and checked before anything else happens to it, so that only its own answer depends on the result.

--- a/include/arbutuscrank/entry/events.hpp
+++ b/include/arbutuscrank/entry/events.hpp
@@ -63,6 +63,7 @@
     NotConnected, ///< no connection could be opened
     NothingSent, ///< connected, but no byte of the request was sent
     Sent, ///< bytes of the request were sent, so the target may have run it
+    Unsendable, ///< the request would have a field that cannot be written, so that it can be sent to no target
 };
 
 /// \brief An attempt ended without a usable answer.
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -208,6 +208,13 @@
         return true;
     }
 
+    /// Refuses a request that can be sent to no target.
+    void refuseUnsendable(EntryState& state, RequestId id, const Request& request, TimePoint now, Effects& out)
+    {
+        admission::returnToken(state, request, out);
+        attempts::answerLocally(state, id, request, 502, "unsendable", {}, {}, now, out);
+    }
+
     void refuseNotRun(
         EntryState& state, RequestId id, const Request& request, std::string_view reason, TimePoint now, Effects& out)
     {
@@ -321,7 +328,7 @@
     void answerLocally(EntryState& state, RequestId id, const Request& request, std::uint32_t status,
         std::string_view reason, Duration retryAfter, std::string_view inputs, TimePoint now, Effects& out)
     {
-        const bool notRun = status == 503 || status == 429;
+        const bool notRun = !request.mayHaveRun && request.attempts.empty();
         out.push_back(
             SendLocalAnswer { id, status, std::string(reason), retryAfter, request.account, request.service });
         out.push_back(WriteLog { notRun ? LogEvent::RequestRefused : LogEvent::RequestOutcomeUnknown,
@@ -494,7 +501,10 @@
             logEjection(*target, out);
         (void)logIfTurnedCold(*target, wasCold, "unreachable", now, out);
     }
-    retryOrEndRequest(state, event.request, request, now, out);
+    if (event.progress == AttemptProgress::Unsendable && request.attempts.empty() && !request.mayHaveRun)
+        refuseUnsendable(state, event.request, request, now, out);
+    else
+        retryOrEndRequest(state, event.request, request, now, out);
 }
 
 } // namespace arbutuscrank::entry
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -153,10 +153,12 @@
         connect(endpoint.value());
         return;
     }
-    // The handler given to TargetConnections::send() is always called from the event loop, never within send().
-    asio::post(m_owner.m_context, [self = shared_from_this(), detail = describe(endpoint.error())] {
-        self->fail(entry::AttemptProgress::NotConnected, detail);
-    });
+    failLater(entry::AttemptProgress::NotConnected, describe(endpoint.error()));
+}
+
+void TargetAttempt::rejectUnsendable(std::string detail)
+{
+    failLater(entry::AttemptProgress::Unsendable, std::move(detail));
 }
 
 void TargetAttempt::connect(const Tcp::endpoint& endpoint)
@@ -328,6 +330,12 @@
     finish(std::move(result));
 }
 
+void TargetAttempt::failLater(entry::AttemptProgress progress, std::string detail)
+{
+    asio::post(m_owner.m_context,
+        [self = shared_from_this(), progress, text = std::move(detail)] { self->fail(progress, text); });
+}
+
 void TargetAttempt::failUnreadable(std::string detail)
 {
     if (!m_hasEnded)
--- a/src/node/target_attempt.hpp
+++ b/src/node/target_attempt.hpp
@@ -15,6 +15,8 @@
         TargetConnections::Done done);
 
     void start(std::shared_ptr<Tcp::socket> idleSocket);
+    /// \brief Ends the attempt without sending anything, because the request cannot be written.
+    void rejectUnsendable(std::string detail);
     void cancel();
 
 private:
@@ -24,6 +26,9 @@
     void readMore();
     /// Counts the memory allocated for the answer. The attempt fails if that releases its answer.
     void countAnswerMemory();
+    /// Fails in a later turn of the event loop: the handler given to \ref TargetConnections::send is never called
+    /// within it.
+    void failLater(entry::AttemptProgress progress, std::string detail);
     void handleAnswer();
     void failUnreadable(std::string detail);
     void fail(entry::AttemptProgress progress, std::string detail);
--- a/src/node/target_connections.cpp
+++ b/src/node/target_connections.cpp
@@ -28,7 +28,8 @@
         return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
-    CallerRequest requestForTarget(
+    /// \returns InvalidArgument if a field that this VM adds cannot be written
+    Result<CallerRequest> requestForTarget(
         const CallerRequest& request, const entry::SendAttempt& attempt, const HeaderNames& names)
     {
         CallerRequest out = request;
@@ -44,9 +45,10 @@
         out.erase(http::field::expect);
         out.erase("Proxy-Connection");
         out.version(11);
-        out.set(names.expectedTarget, attempt.target);
-        if (!attempt.account.empty())
-            out.set(names.account, attempt.account);
+        BOOST_OUTCOME_TRY(setField(out, names.expectedTarget, attempt.target));
+        if (!attempt.account.empty()) {
+            BOOST_OUTCOME_TRY(setField(out, names.account, attempt.account));
+        }
         if (!out.body().empty() || out.count(http::field::content_length) != 0)
             out.content_length(out.body().size());
         return out;
@@ -126,13 +128,20 @@
 
 void TargetConnections::send(const entry::SendAttempt& attempt, const CallerRequest& request, Done done)
 {
+    auto requestToSend = requestForTarget(request, attempt, m_names);
+    if (!requestToSend) {
+        const auto unsendable = std::make_shared<TargetAttempt>(*this, attempt, CallerRequest(), std::move(done));
+        m_attempts.emplace(attempt.attempt, unsendable);
+        unsendable->rejectUnsendable(describe(requestToSend.error()));
+        return;
+    }
     // The answer to a request without an id cannot be told from a late answer to an earlier request.
     const bool hasRequestId = request.count(m_names.requestId) != 0;
     auto idleSocket = attempt.freshConnection || !hasRequestId
         ? nullptr
         : takeIdle(attempt.target, attempt.atMostOnce ? maxIdleTimeAtMostOnce : maxIdleTime);
     auto targetAttempt
-        = std::make_shared<TargetAttempt>(*this, attempt, requestForTarget(request, attempt, m_names), std::move(done));
+        = std::make_shared<TargetAttempt>(*this, attempt, std::move(requestToSend.value()), std::move(done));
     m_attempts.emplace(attempt.attempt, targetAttempt);
     targetAttempt->start(std::move(idleSocket));
 }
--- a/tests/entry/requests_failure_test.cpp
+++ b/tests/entry/requests_failure_test.cpp
@@ -40,6 +40,27 @@
     EXPECT_EQ(entry.last<SendLocalAnswer>()->status, 502U); // 503 would state that the request did not run
 }
 
+// Guards against a request that no target can get and that is tried at one after the other, charges them with failures
+// and takes quota from its account.
+TEST_F(EntryFailures, UnsendableRequestIsRefusedAtOnceAndCostsNothingElse)
+{
+    for (int i = 0; i < 2000; ++i) { // the account has 1000 tokens
+        entry.effects.clear();
+        entry.request(i % 2 == 0 ? "/write/1" : "/read/1");
+        fail(AttemptProgress::Unsendable);
+        ASSERT_EQ(entry.count<SendAttempt>(), 1U) << i;
+        ASSERT_TRUE(entry.last<SendLocalAnswer>()) << i;
+        ASSERT_EQ(entry.last<SendLocalAnswer>()->status, 502U) << i;
+        ASSERT_EQ(entry.last<SendLocalAnswer>()->reason, "unsendable") << i;
+        ASSERT_EQ(entry.last<WriteLog>()->event, LogEvent::RequestRefused) << i; // it has not run
+    }
+    for (const auto& [id, target] : entry.state.targets.all()) {
+        EXPECT_EQ(target.inFlight, 0U) << id;
+        EXPECT_EQ(target.ejectedUntil, TimePoint {}) << id;
+    }
+    EXPECT_TRUE(entry.state.requests.empty());
+}
+
 // Guards against a request that is refused although no target received it and another one could run it.
 TEST_F(EntryFailures, AtMostOnceIsSentAgainWhenNoConnectionWasOpened)
 {
--- a/tests/node/target_connections_failure_test.cpp
+++ b/tests/node/target_connections_failure_test.cpp
@@ -1,3 +1,4 @@
+#include "node/odd_messages.hpp"
 #include "node/target_fixture.hpp"
 
 #include <atomic>
@@ -30,6 +31,55 @@
     EXPECT_NE(seen.find("Expect-Target: " + server.address()), std::string::npos);
 }
 
+// Guards against names from the store and the configuration that end the process, or add fields to a request, when they
+// are written into one.
+TEST_F(TargetConnectionsFailure, NamesThatNoFieldCanHoldAreNotSent)
+{
+    std::atomic<int> requests { 0 };
+    const ScriptedServer server([&](Tcp::socket& socket, int) {
+        while (!readRequest(socket).empty()) {
+            ++requests;
+            writeText(socket, answer("r1", "own"));
+        }
+    });
+    CallerRequest request(http::verb::get, "/a/1", 11);
+    request.set("Id", "r1");
+    const auto sendWithNames = [&](const std::string& account, const std::string& target) {
+        auto parameters = makeAttempt(server);
+        parameters.account = account;
+        parameters.target = target;
+        std::optional<AttemptResult> result;
+        connections.send(parameters, request, [&](AttemptResult it) { result = std::move(it); });
+        EXPECT_FALSE(result); // the handler is never called within send()
+        EXPECT_TRUE(runUntil(context, [&] { return result.has_value(); }));
+        connections.closeIdle(target); // the server serves one connection at a time
+        return result ? std::move(*result) : AttemptResult {};
+    };
+    const auto expectUnsendable = [&](const AttemptResult& result) {
+        EXPECT_EQ(result.failure, entry::AttemptProgress::Unsendable);
+        EXPECT_NE(result.detail.find("must have 1 to 65533 bytes"), std::string::npos) << result.detail;
+    };
+    int sent = 0;
+    for (const auto length : oddLengths) {
+        const std::string name(length, 'n');
+        if (length <= maxFieldTextBytes) {
+            EXPECT_EQ(sendWithNames(name, "t").answer.body(), "own") << length;
+            EXPECT_EQ(sendWithNames("acme", name).answer.body(), "own") << length;
+            sent += 2;
+        } else {
+            expectUnsendable(sendWithNames(name, "t"));
+            expectUnsendable(sendWithNames("acme", name));
+        }
+    }
+    const std::vector<std::string> unusableNames { "n\r\nX-Other: 1", " n", "n\t", std::string("n\0", 2) };
+    for (const auto& name : unusableNames) {
+        expectUnsendable(sendWithNames(name, "t"));
+        expectUnsendable(sendWithNames("acme", name));
+    }
+    EXPECT_EQ(requests, sent);
+    EXPECT_EQ(sendWithNames("acme", "t").answer.body(), "own");
+}
+
 // Guards against the late answer to an earlier request that is taken for the answer to the current one.
 TEST_F(TargetConnectionsFailure, LateAnswerOfAnotherRequestIsSkipped)
 {
