Send messages with long parts to every listener of the real processes

Whether the processes that are shipped hold, and what arbutuscrankd does, which reads HTTP with CivetWeb, was not shown.

Change: HostileConnections.MessagesWithALongPart sends names, values, trailers, chunk extensions and start lines of 65,533, 65,534, 65,535 and 70,000 bytes to the callers' address (four paths), readiness, look-ups and metrics of arbutuscrank-entry, and checks answer, metric, log, memory and ordinary requests. HostileCallers.LongNamesInTheStore writes targets and accounts with names of these lengths. MessagesWithALongPartEndNoDaemon sends the same messages to callers' and operators' listeners of arbutuscrankd, AnswersWithALongPartEndOnlyTheirAttempt sends them to its client for targets. A chunk extension or trailer that overflows the read buffer is now named so in the logs, in place of "buffer overflow".

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -226,7 +226,7 @@
         watchForDisconnect();
         return;
     }
-    m_handlers.logUnreadableRequest(ec.message());
+    m_handlers.logUnreadableRequest(describeReadError(ec));
     CallerAnswer answer(statusForReadError(ec), 11);
     refuseUnread(std::move(answer));
 }
--- a/src/node/http_channel.cpp
+++ b/src/node/http_channel.cpp
@@ -83,7 +83,7 @@
             if (generation != self->m_generation)
                 return;
             if (ec)
-                self->fail(ErrorCode::Unknown, "store.answer", ec.message());
+                self->fail(ErrorCode::Unknown, "store.answer", describeReadError(ec));
             else
                 self->receiveBody();
         });
@@ -96,7 +96,7 @@
             if (generation != self->m_generation)
                 return;
             if (ec) {
-                self->fail(ErrorCode::Unknown, "store.answer", ec.message());
+                self->fail(ErrorCode::Unknown, "store.answer", describeReadError(ec));
                 return;
             }
             if (!parser->keep_alive() || self->m_buffer.size() != 0)
--- a/src/node/http_fields.cpp
+++ b/src/node/http_fields.cpp
@@ -69,9 +69,15 @@
     return outcome::success();
 }
 
-http::status statusForReadError(SystemError ec) noexcept
+std::string describeReadError(SystemError ec)
 {
     // The body is taken from the buffer as it arrives, so that only chunk extensions and trailers can fill it.
+    return ec == http::error::buffer_overflow ? "a chunk extension or the trailer does not fit the read buffer"
+                                              : ec.message();
+}
+
+http::status statusForReadError(SystemError ec) noexcept
+{
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow || ec.category() == fieldErrorCategory())
         return http::status::request_header_fields_too_large;
     if (ec == http::error::body_limit)
--- a/src/node/http_fields.hpp
+++ b/src/node/http_fields.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include <cstddef>
+#include <string>
 #include <string_view>
 
 /// \file
@@ -41,6 +42,9 @@
 /// not arrive unchanged
 [[nodiscard]] Result<void> setField(http::fields& fields, std::string_view name, std::string_view value);
 
+/// \brief Cause of a message that could not be read, for logs.
+[[nodiscard]] std::string describeReadError(SystemError ec);
+
 /// \brief Status of the answer to a request that could not be read: 431 if its fields or chunk extensions are too
 /// large, 413 if its body is, else 400.
 [[nodiscard]] http::status statusForReadError(SystemError ec) noexcept;
--- a/src/node/http_get_server.cpp
+++ b/src/node/http_get_server.cpp
@@ -117,7 +117,7 @@
         m_keepsAlive = false;
         m_isRefused = true;
         if (m_handlers->onUnreadable)
-            m_handlers->onUnreadable(ec.message());
+            m_handlers->onUnreadable(describeReadError(ec));
         write(makeAnswer(statusForReadError(ec), {}, "text/plain"));
     }
 
--- a/src/node/target_attempt.cpp
+++ b/src/node/target_attempt.cpp
@@ -230,7 +230,7 @@
             else if (isDisconnect(ec))
                 self->fail(entry::AttemptProgress::Sent, "answer: " + ec.message());
             else
-                self->failUnreadable("answer: " + ec.message());
+                self->failUnreadable("answer: " + describeReadError(ec));
             return;
         }
         // The rest of such an answer, which may never come, is not waited for.
--- a/tests/daemon/target_client_failure_test.cpp
+++ b/tests/daemon/target_client_failure_test.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/core_runner.hpp"
 #include "node/loopback.hpp"
+#include "node/odd_messages.hpp"
 
 #include <gtest/gtest.h>
 
@@ -73,6 +74,35 @@
     }
 }
 
+// Guards against an answer with one long part that ends the process or looks complete without its body.
+TEST_F(TargetClientFailure, AnswersWithALongPartEndOnlyTheirAttempt)
+{
+    for (const auto part : node::test::oddParts) {
+        for (const auto length : node::test::oddLengths) {
+            const ScriptedServer server([&](node::Tcp::socket& socket, int) {
+                readRequest(socket);
+                writeText(socket, node::test::makeOddMessage("HTTP/1.1 200 OK", "", part, length));
+                readRequest(socket); // until the process closes the connection
+            });
+            using enum node::test::OddPart;
+            // CivetWeb drops trailers. Their bytes must not be read as the next answer on the connection.
+            const bool isDropped = part == TrailerName || part == TrailerValue;
+            for (int i = 0; i < 2; ++i) {
+                sink.isFinished = false;
+                EXPECT_EQ(run(server).outcome, isDropped ? AttemptOutcome::Complete : AttemptOutcome::Unknown)
+                    << toString(part) << ' ' << length;
+                EXPECT_EQ(sink.isFinished, isDropped) << toString(part) << ' ' << length;
+            }
+            client.setIdleConnections({ .address = server.address(), .idleConnections = 0 });
+        }
+    }
+    const ScriptedServer sound([](node::Tcp::socket& socket, int) {
+        readRequest(socket);
+        writeText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    EXPECT_EQ(run(sound).outcome, AttemptOutcome::Complete);
+}
+
 // Guards against memory that grows without limit while a target sends a head without end.
 TEST_F(TargetClientFailure, EndlessHeadIsAFailure)
 {
--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -1,3 +1,4 @@
+#include "node/odd_messages.hpp"
 #include "review/harness.hpp"
 
 #include <gtest/gtest.h>
@@ -290,6 +291,33 @@
 
     [[nodiscard]] bool isOrdinaryRequestAnswered() const { return statusOf(makeRequest("o", "1"), 5) == 200; }
 
+    /// Sends a request on a new connection. \returns the answer; its status is 0 if it is not complete
+    [[nodiscard]] Message exchange(int port, const std::string& request) const
+    {
+        Message answer;
+        const int fd = connectTo(ip, port);
+        const bool isComplete
+            = fd >= 0 && sendAll(fd, request) && Reader(fd).read(answer, hangSeconds) == ReadEnd::Complete;
+        if (fd >= 0)
+            close(fd);
+        return isComplete ? answer : Message {};
+    }
+
+    /// Value of a line of the metrics; 0 if there is none.
+    [[nodiscard]] long metric(const std::string& nameAndLabels) const
+    {
+        const auto text = exchange(portOf(Place::MetricsListener), head(Place::MetricsListener) + "\r\n").body;
+        const auto at = text.find('\n' + nameAndLabels + ' ');
+        return at == std::string::npos ? 0 : std::atol(text.c_str() + at + nameAndLabels.size() + 2);
+    }
+
+    [[nodiscard]] bool hasLogged(const std::string& text) const
+    {
+        std::ifstream in(folder + "/vm-1.log");
+        const std::string log { std::istreambuf_iterator<char>(in), {} };
+        return log.find(text) != std::string::npos;
+    }
+
     /// Waits until the process has read what it will read of the crowd's bytes: nothing has moved for a while.
     void waitUntilSettled() const
     {
@@ -392,6 +420,60 @@
     checkProcess();
 }
 
+// Guards against a message with one long part that ends the process, or whose sender gets no answer.
+TEST_P(HostileConnections, MessagesWithALongPart)
+{
+    using namespace arbutuscrank::node::test;
+    const auto place = GetParam();
+    const auto text = head(place);
+    const auto startLine = text.substr(0, text.find('\r'));
+    const auto fields = text.substr(startLine.size() + 2);
+    for (const auto part : oddParts) {
+        for (const auto length : oddLengths) {
+            const int status = exchange(portOf(place), makeOddMessage(startLine, fields, part, length)).status();
+            if (part == OddPart::StartLine || part == OddPart::ChunkExtension)
+                EXPECT_NE(status, 0) << toString(part) << ' ' << length;
+            else
+                EXPECT_EQ(status, 431) << toString(part) << ' ' << length;
+        }
+    }
+    const bool isCallers = portOf(place) == vm->front();
+    EXPECT_GE(
+        metric(concat("arbutuscrank_unreadable_messages_total{from=\"", isCallers ? "caller" : "get", "\"}")), 16);
+    EXPECT_NO_THROW(waitUntil("the log line", hangSeconds, [this] { return hasLogged("reason=unreadable"); }));
+    checkProcess();
+}
+
+// Guards against names from the store that end the process, or cost other requests, when they are to be written into a
+// request: those of targets, and those of accounts in the configuration.
+TEST_F(HostileCallers, LongNamesInTheStore)
+{
+    using arbutuscrank::node::test::oddLengths;
+    auto configuration = makeLimitedConfiguration();
+    configuration["version"] = 8;
+    for (const auto length : oddLengths) {
+        store.put("servers", std::string(length, 't'), target.entry());
+        configuration["tenants"].push_back(
+            { { "name", std::string(length, 'n') }, { "apiKeys", { concat("key-", length) } } });
+    }
+    store.put("config", "main", configuration);
+    const auto statusWithKey = [this](const std::string& key) {
+        return exchange(vm->front(),
+            concat("GET /k/a HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: a\r\nX-Api-Key: ", key, "\r\n\r\n"))
+            .status();
+    };
+    waitUntil("the configuration is in force", hangSeconds, [&] { return statusWithKey("key-70000") != 401; });
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(statusWithKey("key-65533"), 200);
+        for (const auto* key : { "key-65534", "key-65535", "key-70000" })
+            EXPECT_EQ(statusWithKey(key), 502) << key;
+        EXPECT_EQ(statusWithKey("key"), 200);
+    }
+    for (const auto* text : { "reason=unsendable", "name=store-entry-refused" })
+        EXPECT_NO_THROW(waitUntil(text, hangSeconds, [&] { return hasLogged(text); }));
+    checkProcess();
+}
+
 // Guards against many whole bodies that wait for a busy target.
 TEST_F(HostileCallers, WholeBodiesForABusyTarget)
 {
--- a/tests/node/http_get_server_failure_test.cpp
+++ b/tests/node/http_get_server_failure_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace arbutuscrank::node::test {
 
 namespace {
@@ -66,6 +68,8 @@
             EXPECT_EQ(unreadable.size(), ++refused) << toString(part) << ' ' << length;
         }
     }
+    const std::string overflow = "a chunk extension or the trailer does not fit the read buffer";
+    EXPECT_EQ(std::ranges::count(unreadable, overflow), 12);
     EXPECT_TRUE(exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n").starts_with("HTTP/1.1 200"));
     EXPECT_EQ(unreadable.size(), refused);
 }
--- a/tests/system/request_path_failure_test.cpp
+++ b/tests/system/request_path_failure_test.cpp
@@ -1,3 +1,4 @@
+#include "node/odd_messages.hpp"
 #include "system/cluster.hpp"
 
 #include <gtest/gtest.h>
@@ -47,6 +48,14 @@
 
     void send(const std::string& text) const { (void)::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL); }
 
+    /// Ends the sending direction and reads until the daemon closes the connection.
+    void finish() const
+    {
+        shutdown(m_socket, SHUT_WR);
+        std::array<char, 4096> buf {};
+        while (recv(m_socket, buf.data(), buf.size(), 0) > 0) { }
+    }
+
     /// Reads until \p text arrives. Returns false if the connection ends before.
     [[nodiscard]] bool readUntil(const std::string& text) const
     {
@@ -256,3 +265,25 @@
             << " is still in flight 4 s after its caller disconnected; its deadline is 5 s";
     }
 }
+
+// Guards against a message with one long part that ends a daemon, sent by callers or to the operators' listener.
+TEST(RequestPathFailure, MessagesWithALongPartEndNoDaemon)
+{
+    using namespace arbutuscrank::node::test;
+    Cluster cluster({ { "caerdydd" }, 1, 1 });
+    ASSERT_TRUE(cluster.start());
+    for (const auto& address : { cluster.callerAddress(0), cluster.adminAddress(0) }) {
+        for (const auto part : oddParts) {
+            for (const auto length : oddLengths) {
+                const RawConnection connection(address);
+                ASSERT_TRUE(connection.isConnected()) << toString(part) << ' ' << length;
+                connection.send(makeOddMessage("POST /kitty/a HTTP/1.1", "Host: h\r\n", part, length));
+                connection.finish();
+            }
+        }
+    }
+    const RawConnection sound(cluster.callerAddress(0));
+    sound.send(makeRequestWithKey("GET", "/kitty/a"));
+    EXPECT_TRUE(sound.readUntil("HTTP/1.1 200")) << cluster.readLogs();
+    EXPECT_EQ(statusOf(cluster.sendAdminRequest(0, "GET", "/v1/dump")), 200) << cluster.readLogs();
+}
