--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -208,13 +208,6 @@
         return true;
     }
 
-    /// Refuses a request that can be sent to no target.
-    void refuseUnsendable(EntryState& state, RequestId id, const Request& request, TimePoint now, Effects& out)
-    {
-        admission::returnToken(state, request, out);
-        attempts::answerLocally(state, id, request, 502, "unsendable", {}, {}, now, out);
-    }
-
     void refuseNotRun(
         EntryState& state, RequestId id, const Request& request, std::string_view reason, TimePoint now, Effects& out)
     {
@@ -224,14 +217,9 @@
             minNotRunRetryAfter + Duration(static_cast<Duration::rep>(jitter)), {}, now, out);
     }
 
-    /// Handles the end of an attempt without a successful answer. If no other attempt is in flight, sends a retry or
-    /// ends the request.
-    void retryOrEndRequest(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    /// Ends a request that no target has answered with success and that is sent to no further one.
+    void endRequest(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
     {
-        if (!request.attempts.empty())
-            return;
-        if ((request.idempotent || !request.mayHaveRun) && sendFurtherAttempt(state, id, request, now, out))
-            return;
         if (request.failureAnswerAttempt) {
             out.push_back(DeliverAnswer { id, *request.failureAnswerAttempt, request.account, request.service });
             attempts::finish(state, id, now, out);
@@ -243,6 +231,31 @@
             refuseNotRun(state, id, request, "targets-refused", now, out);
     }
 
+    /// Handles the end of an attempt without a successful answer. If no other attempt is in flight, sends a retry or
+    /// ends the request.
+    void retryOrEndRequest(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        if (!request.attempts.empty())
+            return;
+        if ((request.idempotent || !request.mayHaveRun) && sendFurtherAttempt(state, id, request, now, out))
+            return;
+        endRequest(state, id, request, now, out);
+    }
+
+    /// Handles the end of an attempt because the request can be sent to no target. If no other attempt is in flight,
+    /// ends the request.
+    void endUnsendable(EntryState& state, RequestId id, Request& request, TimePoint now, Effects& out)
+    {
+        if (!request.attempts.empty())
+            return;
+        if (request.mayHaveRun) {
+            endRequest(state, id, request, now, out);
+            return;
+        }
+        admission::returnToken(state, request, out);
+        attempts::answerLocally(state, id, request, 502, "unsendable", {}, {}, now, out);
+    }
+
     /// Records what an answer says of the target's limit.
     void recordNamedRate(
         EntryState& state, Target& target, const RateLimitStatement& statement, TimePoint now, Effects& out)
@@ -501,8 +514,8 @@
             logEjection(*target, out);
         (void)logIfTurnedCold(*target, wasCold, "unreachable", now, out);
     }
-    if (event.progress == AttemptProgress::Unsendable && request.attempts.empty() && !request.mayHaveRun)
-        refuseUnsendable(state, event.request, request, now, out);
+    if (event.progress == AttemptProgress::Unsendable)
+        endUnsendable(state, event.request, request, now, out);
     else
         retryOrEndRequest(state, event.request, request, now, out);
 }
--- a/tests/entry/requests_failure_test.cpp
+++ b/tests/entry/requests_failure_test.cpp
@@ -61,6 +61,20 @@
     EXPECT_TRUE(entry.state.requests.empty());
 }
 
+// Guards against a request that is tried again and again, or said not to have run, if its second attempt cannot be
+// sent.
+TEST_F(EntryFailures, UnsendableRetryLeavesTheOutcomeUnknown)
+{
+    entry.request("/read/1");
+    fail(AttemptProgress::Sent);
+    ASSERT_EQ(entry.count<SendAttempt>(), 2U);
+    fail(AttemptProgress::Unsendable);
+    EXPECT_EQ(entry.count<SendAttempt>(), 2U);
+    ASSERT_TRUE(entry.last<SendLocalAnswer>());
+    EXPECT_EQ(entry.last<SendLocalAnswer>()->reason, "outcome-unknown");
+    EXPECT_EQ(entry.last<WriteLog>()->event, LogEvent::RequestOutcomeUnknown);
+}
+
 // Guards against a request that is refused although no target received it and another one could run it.
 TEST_F(EntryFailures, AtMostOnceIsSentAgainWhenNoConnectionWasOpened)
 {
--- a/tests/node/odd_caller_requests_failure_test.cpp
+++ b/tests/node/odd_caller_requests_failure_test.cpp
@@ -160,7 +160,10 @@
         receivedRequests = 0;
         auto caller = connect();
         const std::string get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-        writeText(caller, get + makeOddMessage(startLine, fields, part, 70'000) + get);
+        std::string text = get;
+        text += makeOddMessage(startLine, fields, part, 70'000);
+        text += get;
+        writeText(caller, text);
         const auto out = readUntil(caller, "no end but that of the connection");
         EXPECT_TRUE(out.starts_with(statusLine(200))) << out;
         EXPECT_NE(out.find("own" + statusLine(431)), std::string::npos) << out;
