Refuse requests of accounts with unsendable names on arrival

What callers saw: nothing reported.

Cause: the name was checked only where the request for the target is written, after admission.

The check where requests are written stays.

Evidence: UnsendableAccount.IsRefusedOnArrival passes; without the mark the code has no such check.

Why it works: what can never be served leaves no trace in the quotas, so that no datagram holds its name.

--- a/include/arbutuscrank/entry/traffic_policy.hpp
+++ b/include/arbutuscrank/entry/traffic_policy.hpp
@@ -51,6 +51,8 @@
     double ratePerSecond = 0; ///< requests per second over all VMs; 0 means no limit
     double burst = 0; ///< requests that may exceed the rate at once
     std::vector<std::string> regions; ///< regions that may serve it; empty means all
+    bool isSendable
+        = true; ///< whether the name can be sent to targets; if not, no request of the account can be served
 };
 
 /// \brief Limits on the size and duration of a caller's requests.
--- a/src/entry/reduce_requests.cpp
+++ b/src/entry/reduce_requests.cpp
@@ -92,7 +92,9 @@
         return false;
     if (route->open || !state.policy.policy().requiresKeys)
         return true;
-    return isPolicyFresh(state, now) && !key.empty() && state.policy.findAccount(sha256Hex(key));
+    const auto* account
+        = isPolicyFresh(state, now) && !key.empty() ? state.policy.findAccount(sha256Hex(key)) : nullptr;
+    return account && account->isSendable;
 }
 
 void apply(EntryState& state, const RequestArrived& event, TimePoint now, Effects& out)
@@ -118,6 +120,10 @@
             refuse(event, 401, "unknown-key", {}, fmt::format("version={}", version), out);
             return;
         }
+        if (!account->isSendable) {
+            refuse(event, 502, "unsendable", {}, fmt::format("version={} account={}", version, account->name), out);
+            return;
+        }
     }
     auto request = makeRequest(event, *route, account, now);
     if (!attempts::canEndBeforeStop(state, request, now)) {
--- a/tests/entry/requests_failure_test.cpp
+++ b/tests/entry/requests_failure_test.cpp
@@ -61,6 +61,27 @@
     EXPECT_TRUE(entry.state.requests.empty());
 }
 
+// Guards against an account whose name can be sent to no target and that nevertheless takes a share of its quota: its
+// name would go into the datagrams of coordinators, which may be too long then.
+TEST(UnsendableAccount, IsRefusedOnArrival)
+{
+    auto policy = makePolicy();
+    policy.accounts[0].isSendable = false;
+    Entry entry(1, policy);
+    entry.useTargets({ makeTarget("t1") });
+    entry.effects.clear();
+    entry.request("/read/1");
+    ASSERT_TRUE(entry.last<SendLocalAnswer>());
+    EXPECT_EQ(entry.last<SendLocalAnswer>()->status, 502U);
+    EXPECT_EQ(entry.last<SendLocalAnswer>()->reason, "unsendable");
+    EXPECT_EQ(entry.count<SendAttempt>(), 0U);
+    EXPECT_FALSE(entry.lastMessage<AdmissionRequest>());
+    EXPECT_TRUE(entry.state.requests.empty());
+    EXPECT_FALSE(wouldPassOn(entry.state, host, "/read/1", key, entry.now)); // its body is not kept
+    entry.request("/open/1", ""); // needs no key
+    EXPECT_EQ(entry.count<SendAttempt>(), 1U);
+}
+
 // Guards against a request that is tried again and again, or said not to have run, if its second attempt cannot be
 // sent.
 TEST_F(EntryFailures, UnsendableRetryLeavesTheOutcomeUnknown)
