Say in comments which fields the parser checks and which VMs add

Cause: MessageParser does not show by itself that the library calls it for trailers as well, and requestForTarget had no description but its error.

--- a/src/node/message_parser.hpp
+++ b/src/node/message_parser.hpp
@@ -30,9 +30,10 @@
 
 private:
     static constexpr std::size_t defaultTrailerBytes = 8U << 10U;
-    /// Colon and line end.
+    /// Colon and line end of a field.
     static constexpr std::size_t separatorBytes = 3;
 
+    /// Boost.Beast calls this for each field that it has parsed: those of the head, then those of the trailer.
     void on_field_impl(
         http::field name, boost::beast::string_view nameText, boost::beast::string_view value, SystemError& ec) override
     {
--- a/src/node/target_connections.cpp
+++ b/src/node/target_connections.cpp
@@ -28,7 +28,8 @@
         return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
-    /// \returns InvalidArgument if a field that this VM adds cannot be written
+    /// The caller's request with the fields that this VM adds. \returns InvalidArgument if one of those cannot be
+    /// written
     Result<CallerRequest> requestForTarget(
         const CallerRequest& request, const entry::SendAttempt& attempt, const HeaderNames& names)
     {
--- a/tests/node/odd_messages.hpp
+++ b/tests/node/odd_messages.hpp
@@ -10,7 +10,7 @@
 
 namespace arbutuscrank::node::test {
 
-/// \brief Lengths on both sides of the longest that the HTTP library's fields can hold, and one far beyond it.
+/// \brief The longest name or value that the HTTP library's fields can hold, and lengths above it.
 inline constexpr std::array<std::size_t, 4> oddLengths { 65'533, 65'534, 65'535, 70'000 };
 
 /// \brief The part of a message that is long.
