Count a request's fields against the limit that is in force

A request on a connection that waited while the limit of fields was lowered was counted against the earlier limit.

Cause: the limit was given to the parser when the session began to wait.

--- a/src/node/caller_session.cpp
+++ b/src/node/caller_session.cpp
@@ -128,7 +128,6 @@
     m_parser.emplace();
     m_parser->header_limit(limits.maxHeaderBytes);
     m_parser->setTrailerLimit(limits.maxHeaderBytes);
-    m_parser->setFieldLimit(limits.maxHeaderFields);
     m_parser->body_limit(limits.maxBodyBytes);
     m_fieldBytes = 0;
     m_isBodyDiscarded = false;
--- a/src/node/caller_session_reading.cpp
+++ b/src/node/caller_session_reading.cpp
@@ -105,6 +105,8 @@
 
 std::size_t CallerSession::parse(asio::const_buffer bytes, SystemError& ec)
 {
+    // The configuration may have changed since the session began to wait for the request.
+    m_parser->setFieldLimit(m_handlers.limits().maxHeaderFields);
     const auto total = bytes.size();
     while (!m_parser->is_done() && bytes.size() != 0) {
         const bool wasHeadRead = m_parser->is_header_done();
