--- a/src/node/http_fields.hpp
+++ b/src/node/http_fields.hpp
@@ -20,7 +20,7 @@
 /// a separator of two bytes, and throws std::length_error for longer texts.
 inline constexpr std::size_t maxFieldTextBytes = 65'533;
 
-/// \brief Why a message cannot be read or written because of its fields.
+/// \brief Why a message cannot be read because of its fields.
 enum class FieldError {
     NameTooLong = 1, ///< over \ref maxFieldTextBytes
     ValueTooLong, ///< over \ref maxFieldTextBytes
--- a/tests/node/http_get_server_failure_test.cpp
+++ b/tests/node/http_get_server_failure_test.cpp
@@ -15,8 +15,8 @@
         HttpGetServerFailure()
         {
             server.setUnreadableHandler([this](const std::string& detail) { unreadable.push_back(detail); });
-            EXPECT_TRUE(server.open(address));
         }
+        void SetUp() override { ASSERT_TRUE(server.open(address)); }
 
         /// Sends text on a new connection. \returns what arrives up to an answer "ok" or the end of the connection
         std::string exchange(const std::string& request)
